--- /dev/null
+++ b/cmd/cowslipgw/main.go
@@ -0,0 +1,67 @@
+// Command cowslipgw schedules agent programs between callers and upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// Exit statuses.
+const (
+	exitOK    = 0
+	exitFault = 1
+	exitUsage = 2
+)
+
+// command is one subcommand. run returns the exit status.
+type command struct {
+	name    string
+	summary string
+	run     func(ctx context.Context, args []string, stdout, stderr io.Writer) int
+}
+
+// commands lists the subcommands in the order of the usage text.
+func commands() []command {
+	return []command{}
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// dispatch runs the subcommand that args name.
+func dispatch(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	if len(args) == 0 {
+		usage(stderr)
+		return exitUsage
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(ctx, args[1:], stdout, stderr)
+		}
+	}
+	if args[0] == "help" || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" {
+		usage(stdout)
+		return exitOK
+	}
+	fmt.Fprintf(stderr, "cowslipgw: unknown command %q\n", args[0])
+	usage(stderr)
+	return exitUsage
+}
+
+// usage lists the subcommands.
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "usage: cowslipgw COMMAND [flags]")
+	fmt.Fprintln(w)
+	for _, c := range commands() {
+		fmt.Fprintf(w, "  %-8s %s\n", c.name, c.summary)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprintln(w, "cowslipgw COMMAND -h lists the flags of a command.")
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,36 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Process events, 1000 to 1099.
+var (
+	HostStarted  = define(1000, logrus.InfoLevel, "host serves")
+	HostDraining = define(1001, logrus.InfoLevel, "host drains before a planned stop")
+	HostStopped  = define(1002, logrus.InfoLevel, "host stopped")
+)
+
+// catalogue holds every defined event by number.
+var catalogue map[int]Event
+
+// define adds an event to the catalogue. A number that is defined twice is a
+// broken invariant and stops the process at start.
+func define(number int, level logrus.Level, text string) Event {
+	if catalogue == nil {
+		catalogue = make(map[int]Event)
+	}
+	if _, taken := catalogue[number]; taken {
+		panic("event number defined twice")
+	}
+	e := Event{Number: number, Level: level, Text: text}
+	catalogue[number] = e
+	return e
+}
+
+// All returns the catalogue by number.
+func All() map[int]Event {
+	copied := make(map[int]Event, len(catalogue))
+	for number, e := range catalogue {
+		copied[number] = e
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/logservice/batch.go
@@ -0,0 +1,12 @@
+package logservice
+
+import "cowslipgw/internal/structs"
+
+// Batch is the answer to one read.
+type Batch struct {
+	// First is the oldest offset that the log still keeps.
+	First structs.Offset `json:"first"`
+	// End is the newest offset of the stream at the time of the read.
+	End     structs.Offset `json:"end"`
+	Records []Record       `json:"records"`
+}
--- /dev/null
+++ b/internal/partition/id.go
@@ -0,0 +1,23 @@
+package partition
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cowslipgw/internal/structs"
+)
+
+// Count is the number of partitions of the fleet. It is fixed for the life of a
+// deployment, since the partition of a key depends on it.
+const Count = 4096
+
+// ID names a partition, from 0 to Count-1.
+type ID uint16
+
+// Of returns the partition that holds a client account's key.
+func Of(account structs.AccountID, key string) ID {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(account))
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(key)
+	return ID(digest.Sum64() % Count)
+}
--- /dev/null
+++ b/internal/sched/doc.go
@@ -0,0 +1,3 @@
+// Package sched decides which call runs next and on which replica, as pure
+// stages: feasible, rank, select.
+package sched
--- /dev/null
+++ b/internal/structs/run.go
@@ -0,0 +1,13 @@
+package structs
+
+// Run says whether a request was run upstream.
+type Run string
+
+const (
+	// RunNo means that no byte of the request was sent upstream.
+	RunNo Run = "no"
+	// RunYes means that the upstream answered the request.
+	RunYes Run = "yes"
+	// RunUnknown means that the request was sent and its outcome is not known.
+	RunUnknown Run = "unknown"
+)
--- /dev/null
+++ b/internal/upstream/doc.go
@@ -0,0 +1,3 @@
+// Package upstream follows the host list and talks to engines and app
+// services.
+package upstream
