--- /dev/null
+++ b/internal/logservice/decode_test.go
@@ -0,0 +1,62 @@
+package logservice_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cowslipgw/internal/logservice"
+	"cowslipgw/internal/structs"
+)
+
+// FuzzDecodeBatch guards against answers that crash the host, or that hand the
+// fold records with gaps, without IDs or out of order.
+func FuzzDecodeBatch(f *testing.F) {
+	f.Add([]byte(`{"first":1,"end":2,"records":[{"offset":1,"id":"a","data":"eA=="},{"offset":2,"id":"b","data":null}]}`), uint64(0))
+	f.Add([]byte(`{"first":5,"end":9,"records":[{"offset":5,"id":"a","data":""}]}`), uint64(2))
+	f.Add([]byte(`{"first":1,"end":0,"records":null}`), uint64(0))
+	f.Add([]byte(`{"first":1,"end":3,"records":[{"offset":3,"id":"a"}]}`), uint64(0))
+	f.Add([]byte(`{"end":18446744073709551615,"records":[{"offset":0,"id":"a"}]}`), uint64(18446744073709551615))
+	f.Add([]byte(`[]`), uint64(0))
+	f.Fuzz(func(t *testing.T, answer []byte, after uint64) {
+		batch, err := logservice.DecodeBatch(answer, structs.Offset(after))
+		switch {
+		case err == nil:
+			next := structs.Offset(after)
+			for _, record := range batch.Records {
+				next++
+				if record.Offset != next || record.ID == "" {
+					t.Fatalf("accepted record %+v at offset %d", record, next)
+				}
+			}
+			if batch.End < next || (len(batch.Records) == 0 && batch.End != next) {
+				t.Fatalf("accepted end %d after offset %d", batch.End, next)
+			}
+		case errors.Is(err, logservice.ErrTrimmed):
+			if batch.First <= structs.Offset(after)+1 || len(batch.Records) > 0 {
+				t.Fatalf("trimmed batch %+v after %d", batch, after)
+			}
+		case !errors.Is(err, logservice.ErrMalformed):
+			t.Fatalf("unexpected error %v", err)
+		}
+	})
+}
+
+// TestIDSet guards against a retried record that is folded twice, and against
+// sets that differ after a start from a snapshot.
+func TestIDSet(t *testing.T) {
+	is := is.New(t)
+	set := logservice.NewIDSet(3)
+	for i := range 5 {
+		is.True(set.Add(fmt.Sprint(i)))
+		is.True(!set.Add(fmt.Sprint(i)))
+	}
+	is.Equal(set.IDs(), []string{"2", "3", "4"})
+	copied := logservice.NewIDSet(3, set.IDs()...)
+	for _, id := range []string{"3", "0", "2", "5", "4"} {
+		is.Equal(copied.Add(id), set.Add(id))
+		is.Equal(copied.IDs(), set.IDs())
+	}
+}
--- a/internal/logservice/errors.go
+++ b/internal/logservice/errors.go
@@ -7,4 +7,13 @@
 	ErrUnavailable = errors.New("log service unavailable")
 	// ErrTrimmed means that records which the reader needs are no longer kept.
 	ErrTrimmed = errors.New("log records trimmed")
+	// ErrRejected means that the log refused the request for what it contains. The
+	// record is not in the log, and a retry does not help.
+	ErrRejected = errors.New("log service rejected the request")
+	// ErrMalformed means that the log's answer breaks its protocol. It is always joined
+	// with ErrUnavailable.
+	ErrMalformed = errors.New("malformed answer from the log service")
+	// ErrQueueFull means that the appender holds as many waiting appends as it may. The
+	// record is not in the log.
+	ErrQueueFull = errors.New("append queue is full")
 )
