--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -14,7 +14,24 @@
 	// AccountsText and PlansText are the INI texts as the operators wrote them.
 	AccountsText, PlansText string
 
-	byKey map[KeyHash]structs.AccountID
+	byKey  map[KeyHash]structs.AccountID
+	byPool map[structs.PoolName][]Route
+}
+
+// Empty returns the lists before the first version: no account and no plan.
+func Empty() *Lists {
+	empty, _ := Parse("", "")
+	return empty
+}
+
+// PlanOf returns the plan of an account.
+func (l *Lists) PlanOf(id structs.AccountID) (Plan, bool) {
+	account, ok := l.Accounts[id]
+	if !ok {
+		return Plan{}, false
+	}
+	plan, ok := l.Plans[account.Plan]
+	return plan, ok
 }
 
 // AccountByKey returns the account that a key's hash belongs to.
