--- /dev/null
+++ b/internal/dispatch/pool_release.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/sched"
+	"cowslipgw/internal/structs"
+)
+
+// Release gives back the slot of a call, or cancels its wait. Calls that the pool
+// does not know are ignored, since a release may be sent twice.
+func (p *Pool) Release(call structs.CallID, result Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w, waits := p.waiters[call]; waits {
+		p.policy.Cancel(call)
+		p.forgetWaiterLocked(w)
+		w.finish(AcquireReply{State: StateRefused, Problem: noReplicaInTime(p.name, p.limits.Wait)})
+		return
+	}
+	p.freeLocked(call, toFinish(result))
+	p.assignLocked()
+}
+
+// freeLocked ends a call in flight.
+func (p *Pool) freeLocked(call structs.CallID, finish sched.Finish) {
+	if _, held := p.slots[call]; !held {
+		return
+	}
+	delete(p.slots, call)
+	p.policy.Done(call, finish, p.now())
+}
+
+// Register takes the list of all calls in flight of a host. Calls that the pool
+// does not know are added. Slots that the host does not list any more are freed:
+// their release was lost.
+func (p *Pool) Register(origin structs.Origin, calls []Running) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[structs.CallID]bool, len(calls))
+	for _, running := range calls {
+		listed[running.Request.Call] = true
+		p.adoptLocked(origin, running)
+	}
+	for id, held := range p.slots {
+		if held.origin == origin && !listed[id] && time.Since(held.since) > unlistedGrace {
+			p.freeLocked(id, sched.Finish{})
+		}
+	}
+	p.assignLocked()
+}
+
+// adoptLocked adds a call that runs already. A wait of the same call is over, since
+// its host has chosen a replica by itself.
+func (p *Pool) adoptLocked(origin structs.Origin, running Running) {
+	id := running.Request.Call
+	if held, known := p.slots[id]; known {
+		held.claimed = true
+		if held.slot.Replica == running.Replica {
+			return
+		}
+		p.freeLocked(id, sched.Finish{})
+	}
+	if w, waits := p.waiters[id]; waits {
+		p.policy.Cancel(id)
+		p.forgetWaiterLocked(w)
+		w.finish(AcquireReply{State: StateMoved})
+	}
+	p.policy.Adopt(toCall(running.Request, p.now()), running.Replica, p.now())
+	slot := Slot{Pool: p.name, Replica: running.Replica, Dispatcher: p.host, Call: id}
+	p.slots[id] = &heldSlot{slot: slot, origin: origin, since: time.Now(), claimed: true}
+}
+
+// Retain frees the slots and ends the waits of hosts that are gone from the view
+// with the given number. A host that joined after that view is kept.
+func (p *Pool) Retain(number structs.ViewNumber, live map[structs.HostID]structs.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	gone := func(o structs.Origin) bool {
+		return o.Incarnation <= number && live[o.Host] != o.Incarnation
+	}
+	freed := 0
+	for id, w := range p.waiters {
+		if gone(w.request.Origin) {
+			p.policy.Cancel(id)
+			p.forgetWaiterLocked(w)
+			w.finish(AcquireReply{State: StateMoved})
+		}
+	}
+	for id, held := range p.slots {
+		if gone(held.origin) {
+			p.freeLocked(id, sched.Finish{})
+			freed++
+		}
+	}
+	if freed > 0 {
+		p.log.Log(event.SlotsFreed, event.Fields{"slots": freed, "view": number})
+	}
+	p.assignLocked()
+}
+
+// toFinish is the form of a result that the policy takes.
+func toFinish(r Result) sched.Finish {
+	return sched.Finish{
+		Answered:         r.Outcome == structs.OutcomeAnswered,
+		PromptTokens:     int64(r.Usage.PromptTokens),
+		CachedTokens:     int64(r.Usage.CachedTokens),
+		CompletionTokens: int64(r.Usage.CompletionTokens),
+		FirstToken:       r.FirstToken,
+		Total:            r.Total,
+	}
+}
