Add stand-ins for engines, plain services, host list and weight store

* The engine batches continuously with a prefill chunk per step, so that one long prompt does not stop the decoding of the others.
Cache entries are single messages; hashes cover the whole prefix.
* A stream is resumed with Last-Event-ID and X-Call-Id, because that is the standard header of server-sent events; a header of its own was not needed.
* Load reports and host lists show a state that is a lag old rather than the newest one at intervals, so that a fast poller cannot see behind the lag.
* The stand-ins define the wire types themselves: they lie below logservice and upstream in the package order, and are an independent side of the protocol.

--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -26,7 +26,9 @@
 
 // commands lists the subcommands in the order of the usage text.
 func commands() []command {
-	return []command{}
+	return []command{
+		{"standin", "run stand-ins for the outside systems", runStandin},
+	}
 }
 
 func main() {
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"cowslipgw/internal/standin"
+)
+
+// Engine is one replica. It is an http.Handler and safe for concurrent use.
+type Engine struct {
+	standin.Recorder
+	settings Settings
+	mux      *http.ServeMux
+	load     *standin.LoadReport
+	// ctx ends when the engine is closed; work counts its goroutines.
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu      sync.Mutex
+	queue   queue
+	batch   []*sequence
+	cache   *cache
+	calls   map[string]*sequence
+	models  []string
+	loading map[string]bool
+	role    string
+	leaving bool
+	faults  Faults
+	fences  map[string]uint64
+	orders  []Order
+	arrival uint64
+	decoded int64
+	wake    chan struct{}
+}
+
+// New starts an engine. Close stops it.
+func New(settings Settings) *Engine {
+	settings = settings.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		settings: settings,
+		mux:      http.NewServeMux(),
+		ctx:      ctx,
+		cancel:   cancel,
+		cache:    newCache(settings.CacheTokens, &cacheEvents{lag: settings.CacheEventLag, gap: settings.CacheEventGap}),
+		calls:    make(map[string]*sequence),
+		models:   slices.Clone(settings.Models),
+		loading:  make(map[string]bool),
+		fences:   make(map[string]uint64),
+		wake:     make(chan struct{}),
+	}
+	e.load = standin.NewLoadReport(settings.LoadLag, e.measure)
+	e.mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	e.mux.HandleFunc("GET /v1/models", e.serveModels)
+	e.mux.Handle("GET /v1/load", e.load)
+	e.mux.HandleFunc("GET /v1/cache/events", e.serveCacheEvents)
+	e.mux.HandleFunc("POST /v1/orders", e.serveOrder)
+	e.mux.HandleFunc("GET /v1/kv/{program}", e.serveExport)
+	e.mux.HandleFunc("PUT /v1/kv/{program}", e.serveImport)
+	e.mux.HandleFunc("POST /faults", e.serveFaults)
+	e.work.Go(func() { e.run(ctx) })
+	return e
+}
+
+// ServeHTTP answers one request.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// Close breaks all calls and waits for the engine's goroutines.
+func (e *Engine) Close() {
+	e.cancel()
+	e.work.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.calls {
+		if s.expiry != nil {
+			s.expiry.Stop()
+		}
+	}
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(faults Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+}
+
+// SetLeaving sets what the load report says about leaving.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Role returns the role that the last role order set.
+func (e *Engine) Role() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role
+}
+
+// Decoded returns how many tokens the engine has decoded.
+func (e *Engine) Decoded() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.decoded
+}
+
+// Load returns the load without the lag.
+func (e *Engine) Load() standin.Load { return e.measure() }
+
+func (e *Engine) measure() standin.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return standin.Load{
+		Running:     len(e.batch),
+		Queued:      len(e.queue),
+		Slots:       e.settings.Slots,
+		CacheTokens: e.cache.used,
+		CacheLimit:  e.cache.limit,
+		Programs:    e.cache.programs(),
+		Models:      slices.Clone(e.models),
+		Leaving:     e.leaving,
+	}
+}
+
+// takeFaults returns the faults for one more call.
+func (e *Engine) takeFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	faults := e.faults
+	if e.faults.Times > 0 {
+		e.faults.Times--
+		if e.faults.Times == 0 {
+			e.faults = Faults{SlowFactor: faults.SlowFactor}
+		}
+	}
+	return faults
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if !standin.ReadJSON(w, r, &faults) {
+		return
+	}
+	e.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/engine/models.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"cowslipgw/internal/standin"
+	"cowslipgw/internal/transport"
+)
+
+const (
+	// loadAttempts bounds the downloads for one load order.
+	loadAttempts = 10
+	// loadPause is the wait between them.
+	loadPause = time.Second
+)
+
+func (e *Engine) serveModels(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	e.mu.Lock()
+	models := []model{}
+	for _, id := range e.models {
+		models = append(models, model{ID: id, Object: "model"})
+	}
+	e.mu.Unlock()
+	standin.WriteJSON(w, http.StatusOK, map[string]any{"object": "list", "data": models})
+}
+
+// loadModelLocked starts to load a model and returns the state of that.
+func (e *Engine) loadModelLocked(model string) (state string) {
+	switch {
+	case slices.Contains(e.models, model):
+		return "done"
+	case e.loading[model] || e.ctx.Err() != nil:
+		return "loading"
+	case e.settings.Weights == "":
+		e.models = append(e.models, model)
+		return "done"
+	}
+	e.loading[model] = true
+	e.work.Go(func() { e.fetchModel(model) })
+	return "loading"
+}
+
+// fetchModel downloads a model and makes it available.
+func (e *Engine) fetchModel(model string) {
+	loaded := false
+	for range loadAttempts {
+		if loaded = e.download(model) == nil; loaded {
+			break
+		}
+		if !standin.Sleep(e.ctx, loadPause) {
+			break
+		}
+	}
+	e.mu.Lock()
+	delete(e.loading, model)
+	if loaded {
+		e.models = append(e.models, model)
+	}
+	e.mu.Unlock()
+	e.load.Touch()
+}
+
+func (e *Engine) download(model string) error {
+	tr := transport.HTTPTransport(e.settings.Network)
+	defer tr.CloseIdleConnections()
+	target := "http://" + e.settings.Weights + "/weights/" + url.PathEscape(model)
+	request, err := http.NewRequestWithContext(e.ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	response, err := (&http.Client{Transport: tr}).Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("weight store answered status %d", response.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
--- a/internal/standin/logserver/server.go
+++ b/internal/standin/logserver/server.go
@@ -22,6 +22,8 @@
 	// changed is closed when the faults change, to end long polls of a server that
 	// goes down.
 	changed chan struct{}
+	closed  chan struct{}
+	once    sync.Once
 	limit   limit
 }
 
@@ -33,6 +35,7 @@
 		mux:      http.NewServeMux(),
 		streams:  make(map[string]*stream),
 		changed:  make(chan struct{}),
+		closed:   make(chan struct{}),
 		limit:    newLimit(settings.AppendsPerSecond, time.Now()),
 	}
 	s.mux.HandleFunc("POST /streams/{name}", s.serveAppend)
@@ -45,6 +48,9 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// Close answers all waiting reads, so that a graceful stop does not wait for them.
+func (s *Server) Close() { s.once.Do(func() { close(s.closed) }) }
+
 // SetFaults replaces the faults.
 func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
@@ -200,6 +206,8 @@
 		case <-changed:
 		case <-over:
 			last = true
+		case <-s.closed:
+			last = true
 		case <-ctx.Done():
 			last = true
 		}
