--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -60,6 +60,19 @@
 	return link.outcome(conn, call)
 }
 
+// Retain closes the connections to all addresses but those for which keep returns
+// true, so that hosts which are gone leave nothing behind.
+func (c *Client) Retain(keep func(address string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, link := range c.links {
+		if !keep(address) {
+			link.close()
+			delete(c.links, address)
+		}
+	}
+}
+
 // Close ends every connection.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -78,7 +91,7 @@
 	}
 	link := c.links[address]
 	if link == nil {
-		link = &clientLink{address: address}
+		link = newClientLink(address)
 		c.links[address] = link
 	}
 	return link, nil
--- a/internal/control/client_link.go
+++ b/internal/control/client_link.go
@@ -15,11 +15,17 @@
 // clientLink holds the connection to one address.
 type clientLink struct {
 	address string
-	// dialing is held while one caller dials, so that the others wait for the result.
-	dialing   sync.Mutex
+	// dialing holds one token while a caller dials, so that the others wait for the
+	// result, each up to its own deadline.
+	dialing   chan struct{}
 	mu        sync.Mutex
 	conn      *rpc.Client
 	lastReply time.Time
+	closed    bool
+}
+
+func newClientLink(address string) *clientLink {
+	return &clientLink{address: address, dialing: make(chan struct{}, 1)}
 }
 
 // connect returns the open connection or dials a new one.
@@ -27,8 +33,12 @@
 	if conn := l.current(); conn != nil {
 		return conn, nil
 	}
-	l.dialing.Lock()
-	defer l.dialing.Unlock()
+	select {
+	case l.dialing <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-l.dialing }()
 	if conn := l.current(); conn != nil {
 		return conn, nil
 	}
@@ -36,9 +46,13 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := rpc.NewClient(raw)
+	conn := rpc.NewClientWithCodec(newClientCodec(raw))
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		_ = conn.Close()
+		return nil, ErrUnreachable
+	}
 	l.conn = conn
 	l.lastReply = time.Now()
 	return conn, nil
@@ -87,6 +101,9 @@
 }
 
 func (l *clientLink) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
 	if conn := l.current(); conn != nil {
 		l.drop(conn)
 	}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -44,7 +44,7 @@
 		}
 		go func() {
 			defer s.remove(conn)
-			s.rpc.ServeConn(conn)
+			s.rpc.ServeCodec(newServerCodec(conn))
 		}()
 	}
 }
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -4,14 +4,14 @@
 
 // Host is one entry host in a view.
 type Host struct {
-	ID          structs.HostID
-	Incarnation structs.Incarnation
-	Region      structs.Region
-	Domain      structs.Domain
+	ID          structs.HostID      `json:"id"`
+	Incarnation structs.Incarnation `json:"incarnation,omitempty"`
+	Region      structs.Region      `json:"region,omitempty"`
+	Domain      structs.Domain      `json:"domain,omitempty"`
 	// EntryAddress is where callers connect, ControlAddress where other hosts do, both
 	// as "ip:port".
-	EntryAddress   string
-	ControlAddress string
+	EntryAddress   string `json:"entry_address,omitempty"`
+	ControlAddress string `json:"control_address,omitempty"`
 	// Leaving hosts own no partitions and take no new callers.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,10 +1,16 @@
 package fleet
 
-import "cowslipgw/internal/structs"
+import (
+	"sort"
+
+	"cowslipgw/internal/structs"
+)
 
 // View is the fleet as the membership records up to Number say. A View is never
 // changed after it is published.
 type View struct {
+	// Number is the offset of the last record that changed Hosts. Suspicions that evict
+	// nobody leave it as it is, so that they interrupt no partition.
 	Number structs.ViewNumber
 	// Hosts is ordered by HostID.
 	Hosts []Host
@@ -12,10 +18,23 @@
 
 // Find returns the host with the given ID.
 func (v *View) Find(id structs.HostID) (Host, bool) {
-	for _, host := range v.Hosts {
-		if host.ID == id {
-			return host, true
-		}
+	if i := v.Index(id); i >= 0 {
+		return v.Hosts[i], true
 	}
 	return Host{}, false
 }
+
+// Index returns the place of the host with the given ID in Hosts, or -1.
+func (v *View) Index(id structs.HostID) int {
+	i := sort.Search(len(v.Hosts), func(i int) bool { return v.Hosts[i].ID >= id })
+	if i < len(v.Hosts) && v.Hosts[i].ID == id {
+		return i
+	}
+	return -1
+}
+
+// Has reports whether the host is in the view with this incarnation.
+func (v *View) Has(id structs.HostID, incarnation structs.Incarnation) bool {
+	i := v.Index(id)
+	return i >= 0 && v.Hosts[i].Incarnation == incarnation
+}
--- a/internal/fleet/viewer.go
+++ b/internal/fleet/viewer.go
@@ -11,3 +11,11 @@
 	// Self names this host.
 	Self() structs.HostID
 }
+
+// Historian is a Viewer that also remembers the views before the current one.
+type Historian interface {
+	Viewer
+	// Recent returns the newest views without a gap between them, the oldest first and
+	// the current one last. fromStart means that no view existed before the first.
+	Recent() (views []*View, fromStart bool)
+}
