Assign, replicate and transfer partitions

The owner numbers operations and sends what is pending of each partition as one batch; batches of several partitions for one host share a call. Each host has its own limit of calls in flight, so that a dead one holds up no healthy partition.

A new owner takes the copy with the highest activated view and judges by the remembered tables whether a later view can have acknowledged anything. Copies carry the newest view up to which their replicas are known to be unchanged, because a copy that was activated long ago is still the newest if nothing changed. They also carry a short lineage of activations: a former owner learns from it what became of its pending operations, so that planned restarts fail none of them.

--- a/internal/fleet/viewer.go
+++ b/internal/fleet/viewer.go
@@ -18,4 +18,7 @@
 	// Recent returns the newest views without a gap between them, the oldest first and
 	// the current one last. fromStart means that no view existed before the first.
 	Recent() (views []*View, fromStart bool)
+	// Incarnation is that of this process, or 0 when it is not in the view. A view may
+	// hold this host's ID with the incarnation of an earlier process.
+	Incarnation() structs.Incarnation
 }
--- /dev/null
+++ b/internal/partition/recovery.go
@@ -0,0 +1,253 @@
+package partition
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/fleet"
+	"cowslipgw/internal/structs"
+)
+
+// recovery makes the partitions active that this host owns in one view and does
+// not serve yet. The next view ends it and starts another one.
+type recovery struct {
+	m         *Manager
+	ctx       context.Context
+	cancel    context.CancelFunc
+	sender    Sender
+	table     *Table
+	history   []*Table
+	fromStart bool
+
+	mu sync.Mutex
+	// remaining are the partitions that are not active yet.
+	remaining map[ID]bool
+	// release holds, by host, the partitions whose old copies may go.
+	release map[structs.HostID][]ID
+	lost    int
+	started time.Time
+}
+
+// startRecovery starts to recover what this host owns in the current view.
+func (m *Manager) startRecovery(ctx context.Context) *recovery {
+	m.mu.RLock()
+	v := &recovery{
+		m:         m,
+		sender:    m.senderLocked(),
+		table:     m.tableLocked(),
+		history:   m.history,
+		fromStart: m.fromStart,
+		remaining: make(map[ID]bool),
+		release:   make(map[structs.HostID][]ID),
+		started:   time.Now(),
+	}
+	member := m.incarnation != 0
+	m.mu.RUnlock()
+	v.ctx, v.cancel = context.WithCancel(ctx)
+	for id, r := range m.replicas {
+		if member && v.table.ownedBy(ID(id), m.self) && !r.serves(v.table.Number()) {
+			v.remaining[ID(id)] = true
+		}
+	}
+	m.work.start(v.run)
+	return v
+}
+
+func (r *replica) serves(view structs.ViewNumber) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.serving == view
+}
+
+// end lets the recovery end. What it still does has no effect, since it checks the
+// view under the lock.
+func (v *recovery) end() {
+	if v != nil {
+		v.cancel()
+	}
+}
+
+func (v *recovery) run() {
+	defer v.cancel()
+	count := len(v.remaining)
+	for v.ctx.Err() == nil {
+		ids := v.left()
+		if len(ids) == 0 {
+			break
+		}
+		v.activate(v.prepare(ids))
+		v.sendReleases()
+		v.pause(len(v.left()) > 0)
+	}
+	if count > 0 && v.ctx.Err() == nil {
+		v.m.config.Logger.Log(event.PartitionRecovered, event.Fields{
+			"view": v.table.Number(), "partitions": count, "took_ms": time.Since(v.started).Milliseconds(),
+		})
+	}
+}
+
+func (v *recovery) pause(needed bool) {
+	if !needed {
+		return
+	}
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-v.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (v *recovery) left() []ID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	ids := make([]ID, 0, len(v.remaining))
+	for id := range ID(Count) {
+		if v.remaining[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// prepare gets the newest state of the partitions to this host and returns those
+// that have it.
+func (v *recovery) prepare(ids []ID) []ID {
+	var ready []ID
+	surveys := make(map[ID]*survey)
+	for _, id := range ids {
+		if v.takeOwn(id) {
+			ready = append(ready, id)
+			continue
+		}
+		surveys[id] = v.ownSurvey(id)
+	}
+	v.ask(surveys, func(id ID) []fleet.Host { return candidates(id, v.history, v.m.self) })
+	found, lost, unknown := v.judge(surveys)
+	if len(unknown) > 0 {
+		all := v.otherHosts()
+		v.ask(unknown, func(ID) []fleet.Host { return all })
+		moreFound, moreLost, still := v.judge(unknown)
+		found = append(found, moreFound...)
+		lost = append(lost, moreLost...)
+		for _, s := range still {
+			if len(s.answered) == len(all)+1 {
+				lost = append(lost, s)
+			}
+		}
+	}
+	return append(ready, v.adoptStates(found, lost)...)
+}
+
+// judge sorts the surveys; those for which an answer is missing are in none of the
+// results and tried again in the next round.
+func (v *recovery) judge(surveys map[ID]*survey) (found, lost []*survey, unknown map[ID]*survey) {
+	unknown = make(map[ID]*survey)
+	for id, s := range surveys {
+		switch s.judge(v.history, v.fromStart) {
+		case verdictFound:
+			found = append(found, s)
+		case verdictLost:
+			lost = append(lost, s)
+		case verdictUnknown:
+			unknown[id] = s
+		}
+	}
+	return found, lost, unknown
+}
+
+// takeOwn activates this host's own copy if no other host can know more.
+func (v *recovery) takeOwn(id ID) bool {
+	return v.withReplica(id, func(r *replica) bool {
+		if !r.authoritative {
+			return false
+		}
+		if r.base.Activated != v.table.Number() {
+			r.activateLocked(v.table.Number(), extend(r.lineage, r.base))
+		}
+		return true
+	})
+}
+
+// withReplica runs a function under the locks if the view is still the current
+// one.
+func (v *recovery) withReplica(id ID, work func(*replica) bool) bool {
+	v.m.mu.RLock()
+	defer v.m.mu.RUnlock()
+	if v.m.numberLocked() != v.sender.View || v.m.incarnation != v.sender.Incarnation {
+		return false
+	}
+	r := v.m.replicas[id]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return work(r)
+}
+
+// ownSurvey starts a survey with this host's own copy.
+func (v *recovery) ownSurvey(id ID) *survey {
+	s := newSurvey(id)
+	s.answered[v.m.self] = true
+	if own, found := v.m.copyOf(v.m.replicas[id], false); found {
+		s.add(v.m.self, own)
+	}
+	return s
+}
+
+func (v *recovery) otherHosts() []fleet.Host {
+	var hosts []fleet.Host
+	for _, host := range v.table.View().Hosts {
+		if host.ID != v.m.self {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// ask asks the hosts of each survey for their copies, with one call per host.
+func (v *recovery) ask(surveys map[ID]*survey, hostsOf func(ID) []fleet.Host) {
+	byHost := make(map[fleet.Host][]ID)
+	for id := range ID(Count) {
+		if s := surveys[id]; s != nil {
+			for _, host := range hostsOf(id) {
+				byHost[host] = append(byHost[host], id)
+			}
+		}
+	}
+	var mu sync.Mutex
+	v.m.forEachHost(byHost, func(host fleet.Host, ids []ID) {
+		var reply FetchReply
+		err := v.m.call(v.ctx, host, "Partition.Fetch", &FetchRequest{From: v.sender, IDs: ids}, &reply, callTimeout)
+		if err != nil || reply.Code != CodeOK {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, id := range ids {
+			surveys[id].answered[host.ID] = true
+		}
+		for _, found := range reply.Copies {
+			if s := surveys[found.ID]; s != nil {
+				s.add(host.ID, found)
+			}
+		}
+	})
+}
+
+// maxTransfers is how many hosts a view change talks to at the same time.
+const maxTransfers = 64
+
+// forEachHost runs a function per host in a bounded number of workers.
+func (m *Manager) forEachHost(byHost map[fleet.Host][]ID, work func(fleet.Host, []ID)) {
+	slots := make(chan struct{}, maxTransfers)
+	var done sync.WaitGroup
+	for host, ids := range byHost {
+		slots <- struct{}{}
+		done.Go(func() {
+			defer func() { <-slots }()
+			work(host, ids)
+		})
+	}
+	done.Wait()
+}
--- /dev/null
+++ b/internal/partition/recovery_state.go
@@ -0,0 +1,176 @@
+package partition
+
+import (
+	"math"
+	"sync"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/fleet"
+	"cowslipgw/internal/structs"
+)
+
+// noEqual is the base of a state that was restored after a loss. No copy has it.
+var noEqual = Base{Activated: math.MaxUint64}
+
+// adoptStates brings the best copies to this host and returns the partitions for
+// which that is done.
+func (v *recovery) adoptStates(found, lost []*survey) []ID {
+	var ready []ID
+	remote := make(map[structs.HostID][]ID)
+	forced := make(map[ID]bool)
+	for _, s := range lost {
+		forced[s.id] = true
+	}
+	v.logLost(len(lost))
+	for _, s := range append(found, lost...) {
+		v.noteHolders(s)
+		if s.holder != "" && s.holder != v.m.self {
+			remote[s.holder] = append(remote[s.holder], s.id)
+			continue
+		}
+		if v.adoptOwn(s, forced[s.id]) {
+			ready = append(ready, s.id)
+		}
+	}
+	bases := make(map[ID]Base)
+	for _, s := range append(found, lost...) {
+		bases[s.id] = s.best.Base
+	}
+	return append(ready, v.transfer(remote, bases, forced)...)
+}
+
+func (v *recovery) logLost(count int) {
+	v.mu.Lock()
+	v.lost += count
+	v.mu.Unlock()
+	if count > 0 {
+		v.m.config.Logger.Log(event.PartitionLost, event.Fields{"view": v.table.Number(), "partitions": count})
+	}
+}
+
+// noteHolders remembers which hosts wait to hear that the partition is active.
+func (v *recovery) noteHolders(s *survey) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for host := range s.holders {
+		if host != v.m.self {
+			v.release[host] = append(v.release[host], s.id)
+		}
+	}
+}
+
+// adoptOwn takes this host's own copy, or an empty one, as the newest.
+func (v *recovery) adoptOwn(s *survey, forced bool) bool {
+	r := v.m.replicas[s.id]
+	if !forced {
+		return v.withReplica(s.id, func(r *replica) bool {
+			if r.base != s.best.Base {
+				return false
+			}
+			if r.machine == nil {
+				r.machine = v.m.config.New(r.id)
+			}
+			v.settle(r, s.best)
+			return true
+		})
+	}
+	machine := v.m.config.New(s.id)
+	if own, found := v.m.copyOf(r, true); found {
+		if err := machine.Restore(own.Snapshot); err != nil {
+			v.m.logBroken(s.id, err)
+		}
+	}
+	return v.adoptLost(s.best, machine)
+}
+
+// adoptLost restores what it can of a partition that may have lost its newest
+// state.
+func (v *recovery) adoptLost(best Copy, machine Machine) bool {
+	v.m.config.Lost(best.ID, machine)
+	return v.withReplica(best.ID, func(r *replica) bool {
+		r.machine = machine
+		r.base.Seq = best.Base.Seq
+		r.activateLocked(v.table.Number(), nil)
+		r.authoritative = true
+		r.forced = true
+		return true
+	})
+}
+
+// settle marks the copy as the newest state and as activated in this view.
+func (v *recovery) settle(r *replica, best Copy) {
+	lineage := best.Lineage
+	if best.Base != (Base{}) {
+		lineage = extend(lineage, best.Base)
+	}
+	r.activateLocked(v.table.Number(), lineage)
+	r.authoritative = true
+}
+
+// transfer fetches the states that other hosts hold.
+func (v *recovery) transfer(remote map[structs.HostID][]ID, bases map[ID]Base, forced map[ID]bool) []ID {
+	byHost := make(map[fleet.Host][]ID)
+	for id, ids := range remote {
+		if host, found := v.table.View().Find(id); found {
+			byHost[host] = ids
+		}
+	}
+	var mu sync.Mutex
+	var ready []ID
+	v.m.forEachHost(byHost, func(host fleet.Host, ids []ID) {
+		got := v.transferFrom(host, ids, bases, forced)
+		mu.Lock()
+		defer mu.Unlock()
+		ready = append(ready, got...)
+	})
+	return ready
+}
+
+// transferFrom fetches states from one host, in several calls if they are large.
+func (v *recovery) transferFrom(host fleet.Host, ids []ID, bases map[ID]Base, forced map[ID]bool) []ID {
+	var ready []ID
+	for len(ids) > 0 && v.ctx.Err() == nil {
+		var reply FetchReply
+		request := FetchRequest{From: v.sender, IDs: ids, Snapshots: true}
+		err := v.m.call(v.ctx, host, "Partition.Fetch", &request, &reply, transferTimeout)
+		if err != nil || reply.Code != CodeOK || len(reply.Copies) == 0 {
+			return ready
+		}
+		for _, copied := range reply.Copies {
+			if copied.Base == bases[copied.ID] && v.adoptRemote(copied, forced[copied.ID]) {
+				ready = append(ready, copied.ID)
+			}
+		}
+		last := reply.Copies[len(reply.Copies)-1].ID
+		ids = after(ids, last)
+	}
+	return ready
+}
+
+// after returns the IDs that follow one in the list.
+func after(ids []ID, last ID) []ID {
+	for i, id := range ids {
+		if id == last {
+			return ids[i+1:]
+		}
+	}
+	return nil
+}
+
+// adoptRemote takes another host's copy as the newest state.
+func (v *recovery) adoptRemote(copied Copy, forced bool) bool {
+	machine := v.m.config.New(copied.ID)
+	if err := machine.Restore(copied.Snapshot); err != nil {
+		v.m.logBroken(copied.ID, err)
+		return false
+	}
+	if forced {
+		return v.adoptLost(copied, machine)
+	}
+	return v.withReplica(copied.ID, func(r *replica) bool {
+		r.machine = machine
+		r.base = copied.Base
+		v.settle(r, copied)
+		return true
+	})
+}
--- /dev/null
+++ b/internal/partition/release.go
@@ -0,0 +1,101 @@
+package partition
+
+import (
+	"context"
+
+	"cowslipgw/internal/fleet"
+	"cowslipgw/internal/structs"
+)
+
+// activeLocked describes a partition if this host serves as its owner.
+func (m *Manager) activeLocked(r *replica) (ReleaseItem, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.serving == 0 || r.serving != m.numberLocked() {
+		return ReleaseItem{}, false
+	}
+	return ReleaseItem{ID: r.id, Lineage: extend(r.lineage, r.base)}, true
+}
+
+// release takes an owner's word that partitions are active in a view. Proposers
+// that wait at this host learn what became of their operations, and copies are
+// dropped unless this host is a replica in its own view.
+func (m *Manager) release(view structs.ViewNumber, items []ReleaseItem) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.numberLocked() < view {
+		return
+	}
+	for _, item := range items {
+		if item.ID >= Count || m.ownsLocked(item.ID) {
+			continue
+		}
+		r := m.replicas[item.ID]
+		r.mu.Lock()
+		r.resolveLocked(item.Lineage)
+		if !m.holdsLocked(item.ID) {
+			r.dropLocked()
+		}
+		r.mu.Unlock()
+	}
+}
+
+// askStatus asks the owners of partitions of which this host has an old copy or
+// waiting proposers whether they are active, in case their Release was lost.
+func (m *Manager) askStatus(ctx context.Context) {
+	for owner, ids := range m.leftovers() {
+		m.work.start(func() {
+			var reply StatusReply
+			if m.call(ctx, owner, "Partition.Status", &StatusRequest{IDs: ids}, &reply, callTimeout) == nil && ctx.Err() == nil {
+				m.release(reply.View, reply.Items)
+			}
+		})
+	}
+}
+
+// leftovers returns, by owner, the partitions that this host wants to be released
+// from.
+func (m *Manager) leftovers() map[fleet.Host][]ID {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	table := m.tableLocked()
+	if table == nil {
+		return nil
+	}
+	found := make(map[fleet.Host][]ID)
+	for id, r := range m.replicas {
+		owner, exists := table.Owner(ID(id))
+		if !exists || owner.ID == m.self {
+			continue
+		}
+		r.mu.Lock()
+		if (r.machine != nil && !m.holdsLocked(ID(id))) || len(r.waiters) > 0 {
+			found[owner] = append(found[owner], ID(id))
+		}
+		r.mu.Unlock()
+	}
+	return found
+}
+
+// HandedOver reports whether this host leaves, or is not in the view, and holds
+// nothing that another host may still need.
+func (m *Manager) HandedOver() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	table := m.tableLocked()
+	if table == nil {
+		return true
+	}
+	if host, found := table.View().Find(m.self); found && !host.Leaving && m.incarnation != 0 {
+		return false
+	}
+	for _, r := range m.replicas {
+		r.mu.Lock()
+		held := r.machine != nil || len(r.waiters) > 0
+		r.mu.Unlock()
+		if held {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/partition/replicate.go
@@ -0,0 +1,136 @@
+package partition
+
+import (
+	"time"
+
+	"cowslipgw/internal/fleet"
+)
+
+// maxBatchBytes bounds the operations of one partition in one call. A single
+// operation may be longer.
+const maxBatchBytes = 1 << 20
+
+// batch is a run of pending operations on its way to the backups.
+type batch struct {
+	sender  Sender
+	backups []fleet.Host
+	item    ReplicateItem
+	last    uint64
+}
+
+// kick starts to send a partition's pending operations.
+func (m *Manager) kick(r *replica) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.kickLocked(r)
+}
+
+func (m *Manager) kickLocked(r *replica) {
+	if r.replicating {
+		return
+	}
+	r.replicating = m.work.start(func() { m.replicate(r) })
+}
+
+// replicate sends the pending operations of a partition, one batch after the other,
+// until none is left or this host does not serve any more. What is proposed while
+// a batch is on its way forms the next one.
+func (m *Manager) replicate(r *replica) {
+	for {
+		b, ok := m.nextBatch(r)
+		if !ok {
+			return
+		}
+		if m.sendBatch(r, b) {
+			continue
+		}
+		timer := time.NewTimer(retryPause)
+		select {
+		case <-timer.C:
+		case <-m.stopped:
+			timer.Stop()
+			return
+		}
+	}
+}
+
+func (m *Manager) nextBatch(r *replica) (batch, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	table := m.tableLocked()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.serving == 0 || r.serving != table.Number() || len(r.pending) == 0 {
+		r.replicating = false
+		return batch{}, false
+	}
+	b := batch{sender: m.senderLocked(), backups: table.Backups(r.id)}
+	size, count := 0, 0
+	for count < len(r.pending) && (count == 0 || size+len(r.pending[count]) <= maxBatchBytes) {
+		size += len(r.pending[count])
+		count++
+	}
+	ops := append([][]byte(nil), r.pending[:count]...)
+	b.item = ReplicateItem{ID: r.id, Activated: r.base.Activated, First: r.acked + 1, Ops: ops}
+	b.last = r.acked + uint64(count)
+	return b, true
+}
+
+// sendBatch sends a batch to all backups and reports whether all have it.
+func (m *Manager) sendBatch(r *replica, b batch) bool {
+	answers := make(chan bool, len(b.backups))
+	for _, backup := range b.backups {
+		m.peers.replicate(backup, b.sender, b.item, func(code Code) {
+			if code != CodeGap && code != CodeBroken {
+				answers <- code == CodeOK
+				return
+			}
+			if !m.work.start(func() { answers <- m.reinstall(r, b, backup) }) {
+				answers <- false
+			}
+		})
+	}
+	all := true
+	for range b.backups {
+		all = <-answers && all
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.base.Activated != b.item.Activated || r.acked >= b.last {
+		return true
+	}
+	if !all {
+		r.stalled = r.serving != 0
+		return false
+	}
+	r.ackLocked(b.last)
+	return true
+}
+
+// reinstall sends the whole state to a backup whose copy has a gap.
+func (m *Manager) reinstall(r *replica, b batch, backup fleet.Host) bool {
+	item, ok := m.installItem(r, b.sender)
+	if !ok {
+		return false
+	}
+	request := InstallRequest{From: b.sender, Items: []InstallItem{item}}
+	codes := m.callCodes(m.ctx, backup, "Partition.Install", &request, 1, transferTimeout)
+	return codes[0] == CodeOK
+}
+
+// installItem is the state of a partition as its owner has it.
+func (m *Manager) installItem(r *replica, sender Sender) (InstallItem, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.numberLocked() != sender.View || r.machine == nil || r.base.Activated > sender.View {
+		return InstallItem{}, false
+	}
+	snapshot, err := r.machine.Snapshot()
+	if err != nil {
+		m.logBroken(r.id, err)
+		return InstallItem{}, false
+	}
+	return InstallItem{ID: r.id, Activated: r.base.Activated, Seq: r.base.Seq, Lineage: r.lineage, Snapshot: snapshot}, true
+}
