Add the entry server's chat and app paths

A call takes rate before anything is claimed, begins at the program's owner, gets a slot, and is settled and its claim closed before the caller sees the end of the answer. Each failure undoes the earlier steps with the outcome that was reached; an undo that an owner delays goes on in the background.

Claimed calls run apart from their caller and are carried to their end. A call is begun again when the dispatch window after Begin has passed.

--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"cowslipgw/internal/structs"
+)
+
+// readBody reads a whole request body within the limits of length and time.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *structs.Problem) {
+	limit := s.options.Limits.Body
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	deadline := http.NewResponseController(w)
+	if err := deadline.SetReadDeadline(time.Now().Add(s.options.Limits.BodyRead)); err != nil {
+		return nil, newProblem(http.StatusInternalServerError, "internal", "the body cannot be read")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if problem := bodyProblem(err, limit); problem != nil {
+		return nil, problem
+	}
+	if err := deadline.SetReadDeadline(time.Time{}); err != nil {
+		return nil, newProblem(http.StatusInternalServerError, "internal", "the body cannot be read")
+	}
+	return body, nil
+}
+
+// tooLarge is the problem of a body over the limit.
+func tooLarge(limit int64) *structs.Problem {
+	return newProblem(http.StatusRequestEntityTooLarge, "body-too-large", fmt.Sprintf("the body exceeds %d bytes", limit))
+}
+
+// bodyProblem returns the problem of an error while a body was read; nil for none.
+func bodyProblem(err error, limit int64) *structs.Problem {
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLong):
+		return tooLarge(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return newProblem(http.StatusRequestTimeout, "body-timeout", "the body did not arrive in time")
+	}
+	return newProblem(http.StatusBadRequest, "body-incomplete", "the body did not arrive whole")
+}
--- /dev/null
+++ b/internal/entry/chat_call.go
@@ -0,0 +1,282 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cowslipgw/internal/dispatch"
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/lists"
+	"cowslipgw/internal/program"
+	"cowslipgw/internal/structs"
+	"cowslipgw/internal/upstream"
+)
+
+// maxAttempts bounds the replicas that one call is tried at.
+const maxAttempts = 3
+
+// chatCall is one chat completion on its way.
+type chatCall struct {
+	*session
+	request   *chatRequest
+	model     lists.Model
+	maxTokens int64
+	reply     *reply
+	idemKey   string
+
+	history    program.BeginResult
+	begunAt    time.Time
+	firstToken time.Duration
+}
+
+// execute runs the call to its end and answers the caller.
+func (c *chatCall) execute() {
+	defer c.undoPanicked()
+	answer, replica, err := c.answer()
+	if err == nil {
+		c.complete(answer, replica)
+		return
+	}
+	problem := c.failure(err)
+	if refusedByEngine(err) {
+		// The engine generated nothing: the turn leaves no trace in the program, and a
+		// retry of a claimed call gets the same refusal.
+		c.settle(program.SettleRequest{})
+		c.closeClaim(structs.OutcomeAnswered, storedProblem(problem))
+	} else {
+		c.undo()
+	}
+	c.reply.fail(problem)
+}
+
+// undoPanicked undoes what a panic left open and lets the panic go on.
+func (c *chatCall) undoPanicked() {
+	if fault := recover(); fault != nil {
+		c.undo()
+		panic(fault)
+	}
+}
+
+// answer begins the call and sends it to replicas until one answers.
+func (c *chatCall) answer() (*upstream.Answer, structs.ReplicaID, error) {
+	if problem := c.begin(); problem != nil {
+		return nil, "", problem
+	}
+	body, err := c.request.encode(c.history.History, c.maxTokens)
+	if err != nil {
+		return nil, "", invalidBody("the request cannot be encoded: %s", err)
+	}
+	request := c.slotRequest()
+	for attempt := 1; ; attempt++ {
+		slot, problem := c.acquire(request)
+		if problem != nil {
+			return nil, "", problem
+		}
+		answer, err := c.attempt(slot, body)
+		if err == nil {
+			return answer, slot.Replica, nil
+		}
+		if errors.Is(err, upstream.ErrForeignAnswer) {
+			c.server.options.Logger.Log(event.AnswerForeign, event.Fields{"replica": slot.Replica, "call": c.call, "error": err})
+		}
+		if attempt == maxAttempts || !c.mayRetry(err) {
+			return nil, "", err
+		}
+		request.Exclude = append(request.Exclude, slot.Replica)
+	}
+}
+
+// mayRetry says whether another replica may be tried. A call that was not sent may;
+// one that was sent may if nobody asked for at most one run, the caller has seen
+// nothing, and the retry budget allows it.
+func (c *chatCall) mayRetry(err error) bool {
+	if c.waiting.Err() != nil || c.reply.hasBegun() {
+		return false
+	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		c.server.metrics.retried("not-sent")
+		return true
+	}
+	var problem *structs.Problem
+	if c.claim != nil || refusedByEngine(err) || errors.As(err, &problem) || !c.server.retries.take() {
+		return false
+	}
+	c.server.metrics.retried("failed")
+	return true
+}
+
+// begin begins the call at the program's owner. A call without a program needs no
+// owner; its budget is checked here.
+func (c *chatCall) begin() *structs.Problem {
+	if !c.program.named() {
+		c.history.PromptTokens = c.request.promptTokens()
+		limit := c.caller.plan.Budget.Tokens
+		if limit > 0 && c.history.PromptTokens+c.maxTokens > limit {
+			return newProblem(http.StatusPaymentRequired, "budget-exhausted",
+				fmt.Sprintf("the request may cost more than the %d tokens that the plan allows a program", limit))
+		}
+		return nil
+	}
+	ctx, span := c.server.options.Tracer.Start(c.waiting, "entry.begin")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, c.server.options.Limits.Begin)
+	defer cancel()
+	result, err := c.server.options.Programs.Begin(ctx, program.BeginRequest{
+		Key:       c.program.key,
+		Call:      c.call,
+		Origin:    c.origin,
+		Depth:     c.program.depth,
+		Messages:  c.request.messages,
+		MaxTokens: c.maxTokens,
+		Budget:    c.caller.plan.Budget,
+	})
+	if err != nil {
+		var problem *structs.Problem
+		// Without an answer, the call may have begun.
+		c.begun = c.begun || !errors.As(err, &problem)
+		if c.waiting.Err() != nil {
+			return c.failure(context.Cause(c.waiting))
+		}
+		return c.keepTrue(problemOf(err, "program-unavailable", "the owner of the program does not answer"))
+	}
+	if result.Problem != nil {
+		return c.keepTrue(result.Problem)
+	}
+	c.begun, c.begunAt, c.history = true, time.Now(), result
+	return nil
+}
+
+// slotRequest asks for a slot for this call.
+func (c *chatCall) slotRequest() dispatch.Request {
+	messages := c.request.messages
+	if c.history.History != nil {
+		messages = c.history.History
+	}
+	return dispatch.Request{
+		Pool:         c.model.Pool,
+		Model:        c.model.Name,
+		Account:      c.caller.account,
+		Weight:       c.caller.plan.Weight,
+		Program:      c.history.Number,
+		Call:         c.call,
+		Origin:       c.origin,
+		PromptTokens: c.history.PromptTokens,
+		MaxTokens:    c.maxTokens,
+		Prefix:       prefixOf(c.model.Name, messages),
+		Holders:      c.history.Holders,
+		Attained:     c.history.Attained,
+	}
+}
+
+// attempt sends the call to one replica and gives the slot back.
+func (c *chatCall) attempt(slot dispatch.Slot, body []byte) (*upstream.Answer, error) {
+	result := dispatch.Result{Outcome: structs.OutcomeNotRun}
+	sent := time.Now()
+	defer func() {
+		result.Total = time.Since(sent)
+		c.server.options.Dispatcher.Release(slot, result)
+	}()
+	// The owner lets the next call run some time after this host was evicted. Within
+	// the window after Begin, that time is not over yet.
+	if c.program.named() && time.Since(c.begunAt) > c.server.options.Limits.Window {
+		if problem := c.begin(); problem != nil {
+			return nil, problem
+		}
+	}
+	if c.waiting.Err() != nil {
+		return nil, context.Cause(c.waiting)
+	}
+	before := c.outcome
+	c.outcome, result.Outcome = structs.OutcomeUnknown, structs.OutcomeUnknown
+	answer, err := c.send(slot, body)
+	result.FirstToken = c.firstToken
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		c.outcome, result.Outcome = before, structs.OutcomeNotRun
+	case err == nil:
+		c.outcome, result.Outcome = structs.OutcomeAnswered, structs.OutcomeAnswered
+		result.Usage = answer.Usage
+	case refusedByEngine(err):
+		c.outcome, result.Outcome = before, structs.OutcomeAnswered
+	}
+	return answer, err
+}
+
+// sending returns the context of the upstream call. A claimed call is carried to
+// its end when its caller goes.
+func (c *chatCall) sending() (context.Context, context.CancelFunc) {
+	if c.claim == nil {
+		return context.WithCancel(c.waiting)
+	}
+	return context.WithTimeout(context.WithoutCancel(c.waiting), c.server.options.Limits.Carry)
+}
+
+// send makes the upstream call.
+func (c *chatCall) send(slot dispatch.Slot, body []byte) (*upstream.Answer, error) {
+	ctx, cancel := c.sending()
+	defer cancel()
+	ctx, span := c.server.options.Tracer.Start(ctx, "entry.upstream")
+	defer span.End()
+	header := upstream.CallHeader{
+		Program:        c.history.Number,
+		Fence:          c.history.Fence,
+		Call:           c.call,
+		IdempotencyKey: c.idemKey,
+	}
+	if !c.request.stream {
+		return c.server.options.Upstream.Chat(ctx, slot.Address, header, body)
+	}
+	stream, err := c.server.options.Upstream.ChatStream(ctx, slot.Address, header, body)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	return c.copyEvents(stream)
+}
+
+// copyEvents passes the events of a stream on until the answer is whole.
+func (c *chatCall) copyEvents(stream *upstream.ChatStream) (*upstream.Answer, error) {
+	c.server.metrics.streams.Add(1)
+	defer c.server.metrics.streams.Add(-1)
+	for {
+		next, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return stream.Answer()
+		}
+		if err != nil {
+			return nil, err
+		}
+		if c.firstToken == 0 {
+			c.firstToken = time.Since(c.started)
+			c.server.metrics.firstToken(c.firstToken)
+		}
+		if next.UsageOnly && !c.request.includeUsage {
+			continue
+		}
+		if err := c.reply.event(next.Data); err != nil && c.claim == nil {
+			return nil, context.Canceled
+		}
+	}
+}
+
+// complete commits the turn and the stored answer, and only then ends the reply: a
+// caller that has the answer can rely on both.
+func (c *chatCall) complete(answer *upstream.Answer, replica structs.ReplicaID) {
+	problem := c.settle(program.SettleRequest{Answer: answer.Message, Usage: answer.Usage, Replica: replica})
+	if problem != nil {
+		c.closeClaim(structs.OutcomeUnknown, nil)
+		c.reply.fail(problem)
+		return
+	}
+	header := map[string][]string{"Content-Type": {"application/json"}}
+	c.closeClaim(structs.OutcomeAnswered, &program.StoredAnswer{Status: http.StatusOK, Header: header, Body: answer.Body})
+	if c.request.stream {
+		c.reply.finish()
+		return
+	}
+	c.reply.whole(http.StatusOK, header, answer.Body)
+}
--- /dev/null
+++ b/internal/entry/chat_test.go
@@ -0,0 +1,297 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipgw/internal/structs"
+)
+
+// run runs a test in virtual time with a fixture.
+func run(t *testing.T, test func(is *is.I, f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		test(is.New(t), newFixture(t))
+	})
+}
+
+// TestChatProgram guards against a lost history, a lost settlement, callers' keys at
+// upstreams, and missing RateLimit headers.
+func TestChatProgram(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		var header http.Header
+		var sent string
+		f.replica(firstReplica, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			header, sent = r.Header, string(body)
+			io.WriteString(w, wholeAnswer)
+		})
+		f.owner.history = []structs.Message{{Role: "system", Content: []byte(`"be brief"`)}}
+		f.start()
+		got := f.chat(callBody, "Cowslip-Program", "p2", "Cowslip-Parent", "p0/p1", "Cowslip-Program-End", "true", "Cookie", "c=1")
+		is.Equal(got.status, 200)
+		is.Equal(got.body, wholeAnswer)
+		is.Equal(got.header.Get("RateLimit"), `"account";r=999;t=3`)
+		is.Equal(got.header.Get("RateLimit-Policy"), `"account";q=20;w=2`)
+		is.Equal(header.Get("Authorization"), "Bearer host-credential")
+		is.Equal(header.Get("Cookie"), "")
+		is.Equal(header.Get("X-Program"), "77")
+		is.Equal(header.Get("X-Fence"), "5")
+		is.Equal(header.Get("X-Call-Id"), "h1-4-1")
+		is.True(strings.Contains(sent, `"be brief"`))
+		is.True(strings.Contains(sent, `"max_tokens":1000`))
+		is.Equal(f.owner.begins[0].Key.Root, structs.ProgramID("p0"))
+		is.Equal(f.owner.begins[0].Depth, 3)
+		settled := f.owner.lastSettle()
+		is.Equal(settled.Outcome, structs.OutcomeAnswered)
+		is.Equal(string(settled.Answer.Content), `"hello"`)
+		is.Equal(settled.Usage.TotalTokens, 4)
+		is.True(settled.End)
+		is.Equal(f.dispatcher.results[0].Usage.TotalTokens, 4)
+	})
+}
+
+// TestChatStream guards against events that are lost, changed or held back, and a
+// usage event that the caller did not ask for.
+func TestChatStream(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.replica(firstReplica, answer)
+		f.start()
+		got := f.chat(streamBody)
+		is.Equal(got.header.Get("Content-Type"), "text/event-stream")
+		is.Equal(strings.Count(got.body, "data: "), 4)
+		is.True(strings.HasSuffix(got.body, "data: [DONE]\n\n"))
+		is.True(!strings.Contains(got.body, "usage"))
+		got = f.chat(strings.Replace(streamBody, `"stream":true`, `"stream":true,"stream_options":{"include_usage":true}`, 1))
+		is.True(strings.Contains(got.body, `"total_tokens":5`))
+	})
+}
+
+// TestClaimReplay guards against a second run under the same key, and against a
+// stored answer that a retry cannot get in the other form.
+func TestClaimReplay(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.replica(firstReplica, answer)
+		f.start()
+		first := f.chat(streamBody, "Idempotency-Key", "k1")
+		is.True(strings.HasSuffix(first.body, "[DONE]\n\n"))
+		whole := f.chat(callBody, "Idempotency-Key", "k1")
+		is.Equal(whole.status, 200)
+		is.True(strings.Contains(whole.body, `"content":"hello"`))
+		is.Equal(whole.header.Get("Idempotency-Replayed"), "true")
+		streamed := f.chat(streamBody, "Idempotency-Key", "k1")
+		is.True(strings.Contains(streamed.body, `"content":"hello"`))
+		is.True(strings.HasSuffix(streamed.body, "[DONE]\n\n"))
+		other := f.chat(strings.Replace(callBody, "hi", "ho", 1), "Idempotency-Key", "k1")
+		is.Equal(other.status, 422)
+		is.Equal(f.upstreamCalls.Load(), int64(1))
+	})
+}
+
+// TestClaimNotStored guards against a retry that runs again because the answer was
+// too long to be kept.
+func TestClaimNotStored(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.limits.Stored = 10
+		f.replica(firstReplica, answer)
+		f.start()
+		is.Equal(f.chat(callBody, "Idempotency-Key", "k1").body, wholeAnswer)
+		retry := f.chat(callBody, "Idempotency-Key", "k1")
+		code, told := retry.problem()
+		is.Equal(retry.status, 409)
+		is.Equal(code, "answer-not-stored")
+		is.Equal(told, structs.RunYes)
+		is.Equal(f.upstreamCalls.Load(), int64(1))
+	})
+}
+
+// TestRefusalsLeaveNothing guards against claims, programs or upstream calls left by
+// requests that were refused, and against an untrue "run".
+func TestRefusalsLeaveNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		set    func(*fixture)
+		status int
+		code   string
+	}{
+		{"rate", func(f *fixture) { f.rates.left = 0 }, 429, "rate-exceeded"},
+		{"rate owner", func(f *fixture) { f.rates.err = errors.New("down") }, 503, "rate-unavailable"},
+		{"stale", func(f *fixture) { f.freshness.stale = true }, 503, "not-current"},
+		{"budget", func(f *fixture) {
+			f.owner.beginErr = &structs.Problem{Code: "budget-exhausted", Status: 402, Run: structs.RunNo}
+		}, 402, "budget-exhausted"},
+		{"no replica", func(f *fixture) { f.dispatcher.addresses = nil }, 503, "no-replica"},
+		{"unreachable", func(*fixture) {}, 503, "no-replica"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(is *is.I, f *fixture) {
+				c.set(f)
+				f.start()
+				got := f.chat(callBody, "Idempotency-Key", "k1", "Cowslip-Program", "p")
+				code, told := got.problem()
+				is.Equal(got.status, c.status)
+				is.Equal(code, c.code)
+				is.Equal(told, structs.RunNo)
+				is.Equal(got.header.Get("Retry-After") != "", c.status != 402)
+				is.Equal(len(f.owner.claims), 0)
+				is.True(len(f.owner.settles) == 0 || f.owner.lastSettle().Outcome == structs.OutcomeNotRun)
+			})
+		})
+	}
+}
+
+// TestRetry guards against repeatable calls that are not tried elsewhere, claimed
+// ones that are sent twice, and retries beyond the budget.
+func TestRetry(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.replica(firstReplica, func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			conn.Close()
+		})
+		f.replica(otherReplica, answer)
+		f.start()
+		is.Equal(f.chat(callBody).status, 200)
+		is.Equal(f.upstreamCalls.Load(), int64(2))
+		claimed := f.chat(callBody, "Idempotency-Key", "k1")
+		_, told := claimed.problem()
+		is.Equal(claimed.status, 502)
+		is.Equal(told, structs.RunUnknown)
+		is.Equal(claimed.header.Get("X-Should-Retry"), "false")
+		is.Equal(f.upstreamCalls.Load(), int64(3))
+		again := f.chat(callBody, "Idempotency-Key", "k1")
+		_, told = again.problem()
+		is.Equal(again.status, 409)
+		is.Equal(told, structs.RunUnknown)
+		const calls = 100
+		before := f.upstreamCalls.Load()
+		for range calls {
+			f.chat(callBody)
+		}
+		retries := f.upstreamCalls.Load() - before - calls
+		is.True(retries <= calls/10+3)
+	})
+}
+
+// TestStreamCutShort guards against a partial stream that looks whole.
+func TestStreamCutShort(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.replica(firstReplica, func(w http.ResponseWriter, _ *http.Request) { streamWords(w, "hel") })
+		f.start()
+		got := f.chat(streamBody, "Cowslip-Program", "p")
+		is.True(!strings.Contains(got.body, "[DONE]"))
+		is.True(strings.Contains(got.body, `"run":"unknown"`))
+		is.Equal(f.owner.lastSettle().Outcome, structs.OutcomeUnknown)
+	})
+}
+
+// TestCallerGone guards against unclaimed streams that go on without a caller, and
+// claimed ones that are not carried to their end.
+func TestCallerGone(t *testing.T) {
+	for _, claimed := range []bool{false, true} {
+		run(t, func(is *is.I, f *fixture) {
+			cancelled := make(chan bool, 1)
+			f.replica(firstReplica, func(w http.ResponseWriter, r *http.Request) {
+				streamWords(w, "hel")
+				select {
+				case <-r.Context().Done():
+					cancelled <- true
+				case <-time.After(5 * time.Second):
+					streamWords(w, "lo")
+					endStream(w)
+					cancelled <- false
+				}
+			})
+			f.start()
+			headers := []string{"Cowslip-Program", "p"}
+			if claimed {
+				headers = append(headers, "Idempotency-Key", "k1")
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			got := f.do(ctx, http.MethodPost, "/v1/chat/completions", streamBody, headers...)
+			is.True(errors.Is(got.err, context.DeadlineExceeded))
+			is.Equal(<-cancelled, !claimed)
+			synctest.Wait()
+			if !claimed {
+				is.Equal(f.owner.lastSettle().Outcome, structs.OutcomeUnknown)
+				return
+			}
+			is.Equal(f.owner.lastSettle().Outcome, structs.OutcomeAnswered)
+			retry := f.chat(callBody, "Cowslip-Program", "p", "Idempotency-Key", "k1")
+			is.True(strings.Contains(retry.body, `"content":"hello"`))
+			is.Equal(f.upstreamCalls.Load(), int64(1))
+		})
+	}
+}
+
+// TestKeyWithdrawn guards against streams that outlive their key, and against a
+// claimed call that is not settled because of it.
+func TestKeyWithdrawn(t *testing.T) {
+	for _, claimed := range []bool{false, true} {
+		run(t, func(is *is.I, f *fixture) {
+			f.replica(firstReplica, func(w http.ResponseWriter, r *http.Request) {
+				streamWords(w, "hel")
+				select {
+				case <-r.Context().Done():
+				case <-time.After(30 * time.Second / 5):
+					endStream(w)
+				}
+			})
+			f.start()
+			headers := []string{"Cowslip-Program", "p"}
+			if claimed {
+				headers = append(headers, "Idempotency-Key", "k1")
+			}
+			go func() {
+				time.Sleep(time.Second)
+				f.lists.put(testLists("another-key"))
+			}()
+			began := time.Now()
+			got := f.chat(streamBody, headers...)
+			is.Equal(time.Since(began), time.Second)
+			is.True(strings.Contains(got.body, `"code":"key-withdrawn"`))
+			is.Equal(f.chat(callBody).status, 401)
+			time.Sleep(20 * time.Second)
+			want := structs.OutcomeUnknown
+			if claimed {
+				want = structs.OutcomeAnswered
+			}
+			is.Equal(f.owner.lastSettle().Outcome, want)
+		})
+	}
+}
+
+// TestWindow guards against a call that is sent long after it was begun, when the
+// owner may have let the next one run.
+func TestWindow(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.dispatcher.wait = 3 * time.Second
+		f.replica(firstReplica, answer)
+		f.start()
+		is.Equal(f.chat(callBody, "Cowslip-Program", "p").status, 200)
+		is.Equal(len(f.owner.begins), 2)
+		is.Equal(f.owner.begins[0].Call, f.owner.begins[1].Call)
+	})
+}
+
+// TestNotCommitted guards against an answer that a caller takes for part of the
+// history although the owner did not take it.
+func TestNotCommitted(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.owner.settleBy = &structs.Problem{Code: "call-ended", Status: 409, Run: structs.RunUnknown}
+		f.replica(firstReplica, answer)
+		f.start()
+		got := f.chat(streamBody, "Cowslip-Program", "p")
+		is.True(!strings.Contains(got.body, "[DONE]"))
+		is.True(strings.Contains(got.body, `"run":"yes"`))
+	})
+}
--- /dev/null
+++ b/internal/entry/fixture_test.go
@@ -0,0 +1,237 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cowslipgw/internal/entry"
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/fleet"
+	"cowslipgw/internal/lists"
+	"cowslipgw/internal/program"
+	"cowslipgw/internal/structs"
+	"cowslipgw/internal/trace"
+	"cowslipgw/internal/transport"
+	"cowslipgw/internal/upstream"
+)
+
+const (
+	entryAddress = "10.0.0.2:80"
+	firstReplica = "10.0.0.3:80"
+	otherReplica = "10.0.0.4:80"
+	callerKey    = "caller-key"
+	callBody     = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
+	streamBody   = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+	wholeAnswer  = `{"id":"c1","object":"chat.completion","created":1,"model":"m","choices":[{"index":0,` +
+		`"message":{"role":"assistant","content":"hello"},"finish_reason":"stop"}],` +
+		`"usage":{"prompt_tokens":3,"completion_tokens":1,"total_tokens":4}}`
+)
+
+// fixture is one entry host with fakes around it.
+type fixture struct {
+	t          *testing.T
+	network    *transport.Memory
+	owner      *fakeOwner
+	rates      *fakeRates
+	lists      *fakeLists
+	freshness  *fakeFreshness
+	hosts      *fakeHosts
+	dispatcher *fakeDispatcher
+	limits     entry.Limits
+	server     *entry.Server
+	client     *http.Client
+	// upstreamCalls counts the requests that any replica received.
+	upstreamCalls atomic.Int64
+}
+
+// testLists returns lists with one account, plan, model and three routes.
+func testLists(keys ...string) *lists.Lists {
+	account := lists.Account{ID: "acme", Plan: "basic"}
+	for _, key := range keys {
+		account.Keys = append(account.Keys, lists.HashKey(key))
+	}
+	plan := lists.Plan{Name: "basic", Rate: 10, Burst: 20, Weight: 1, Models: []string{"m"}, Routes: []string{"bids", "status"}}
+	return lists.Indexed(lists.Lists{
+		Version:  1,
+		Accounts: map[structs.AccountID]lists.Account{"acme": account},
+		Plans:    map[string]lists.Plan{"basic": plan},
+		Models:   map[string]lists.Model{"m": {Name: "m", Pool: "llm", Context: 1000}, "other": {Name: "other", Pool: "llm"}},
+		Routes: map[string]lists.Route{
+			"bids":   {Name: "bids", Pool: "app", Path: "/bids", Methods: []string{"POST"}},
+			"status": {Name: "status", Pool: "app", Path: "/bids/status", Repeat: true},
+			"open":   {Name: "open", Pool: "app", Path: "/open", Open: true},
+			"other":  {Name: "other", Pool: "app", Path: "/other"},
+		},
+	})
+}
+
+// newFixture prepares an entry host; start runs it.
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	host := func(id, domain string, leaving bool) fleet.Host {
+		return fleet.Host{ID: structs.HostID(id), Incarnation: 4, Region: "r", Domain: structs.Domain(domain), EntryAddress: id + ":80", Leaving: leaving}
+	}
+	return &fixture{
+		t:          t,
+		network:    transport.NewMemory(),
+		owner:      &fakeOwner{claims: make(map[program.ClaimKey]*fakeClaim)},
+		rates:      &fakeRates{left: 1000},
+		lists:      &fakeLists{current: testLists(callerKey), changed: make(chan struct{})},
+		freshness:  &fakeFreshness{},
+		hosts:      &fakeHosts{view: fleet.View{Hosts: []fleet.Host{host("h1", "a", false), host("h2", "a", false), host("h3", "b", false), host("h4", "a", true)}}},
+		dispatcher: &fakeDispatcher{addresses: []string{firstReplica, otherReplica}},
+		limits:     entry.DefaultLimits(),
+	}
+}
+
+// start runs the entry host until the test ends.
+func (f *fixture) start() {
+	f.t.Helper()
+	tracer, err := trace.New(context.Background(), trace.Options{Host: "h1"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	client := upstream.NewClient(upstream.ClientOptions{
+		Network: f.network.Host("10.0.0.2"), Credential: "host-credential",
+		FirstByte: 10 * time.Second, Answer: time.Minute, Idle: 10 * time.Second, AnswerLimit: 1 << 20,
+	})
+	f.server = entry.New(entry.Options{
+		Programs: f.owner, Claims: f.owner, Rates: f.rates, Lists: f.lists, Freshness: f.freshness, Hosts: f.hosts,
+		Dispatcher: f.dispatcher, Upstream: client, Logger: event.Discard(), Tracer: tracer, Limits: f.limits,
+	})
+	listener, err := f.network.Host("10.0.0.2").Listen(context.Background(), entryAddress)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go f.server.Serve(listener)
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.server.Run(ctx)
+	tr := transport.HTTPTransport(f.network.Host("10.0.0.9"))
+	f.client = &http.Client{Transport: tr}
+	f.t.Cleanup(func() {
+		tr.CloseIdleConnections()
+		synctest.Wait()
+		if err := f.server.Shutdown(context.Background()); err != nil {
+			f.t.Error(err)
+		}
+		cancel()
+		client.Close()
+	})
+}
+
+// replica serves a handler at an upstream address. It reads each body first, since
+// net/http notices a closed connection only then.
+func (f *fixture) replica(address string, handler http.HandlerFunc) {
+	f.t.Helper()
+	listener, err := f.network.Host(strings.TrimSuffix(address, ":80")).Listen(context.Background(), address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.upstreamCalls.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		handler(w, r)
+	})}
+	go server.Serve(listener)
+	f.t.Cleanup(func() { server.Close() })
+}
+
+// answer answers a chat completion, streamed if asked.
+func answer(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if !strings.Contains(string(body), `"stream":true`) {
+		io.WriteString(w, wholeAnswer)
+		return
+	}
+	streamWords(w, "hel", "lo")
+	endStream(w)
+}
+
+// streamWords sends one event for each word.
+func streamWords(w http.ResponseWriter, words ...string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for _, word := range words {
+		fmt.Fprintf(w, "data: {\"id\":\"c1\",\"model\":\"m\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", word)
+	}
+	w.(http.Flusher).Flush()
+}
+
+// endStream sends the finish reason, the usage and the final event.
+func endStream(w http.ResponseWriter) {
+	io.WriteString(w, "data: {\"id\":\"c1\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"+
+		"data: {\"id\":\"c1\",\"choices\":[],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":2,\"total_tokens\":5}}\n\n"+
+		"data: [DONE]\n\n")
+}
+
+// result is an answer as a caller saw it.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// problem decodes a problem document.
+func (r result) problem() (code string, run structs.Run) {
+	var document struct {
+		Run   structs.Run
+		Error struct{ Code string }
+	}
+	_ = json.Unmarshal([]byte(r.body), &document)
+	return document.Error.Code, document.Run
+}
+
+// do sends a request with the caller's key; headers come as name and value in turn.
+func (f *fixture) do(ctx context.Context, method, path, body string, headers ...string) result {
+	f.t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entryAddress+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+		if headers[i+1] == "" {
+			request.Header.Del(headers[i])
+		}
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return result{err: err}
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return result{status: response.StatusCode, header: response.Header, body: string(read), err: err}
+}
+
+// chat sends a chat completion.
+func (f *fixture) chat(body string, headers ...string) result {
+	f.t.Helper()
+	return f.do(context.Background(), http.MethodPost, "/v1/chat/completions", body, headers...)
+}
+
+// raw sends bytes on a connection of its own and returns what came back.
+func (f *fixture) raw(text string, then func(net.Conn)) string {
+	f.t.Helper()
+	conn, err := f.network.Host("10.0.0.9").Dial(context.Background(), entryAddress)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, text)
+	if then != nil {
+		then(conn)
+	}
+	answered, _ := io.ReadAll(conn)
+	return string(answered)
+}
