--- a/internal/entry/apps.go
+++ b/internal/entry/apps.go
@@ -60,49 +60,25 @@
 	if current == nil {
 		return found, appTarget{}, refused
 	}
-	target, ok := findRoute(current, r.URL.EscapedPath())
+	pool, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathApps), "/")
+	route, path, match := current.MatchRoute(structs.PoolName(pool), r.Method, strings.TrimPrefix(r.URL.EscapedPath(), pathApps+pool))
+	target := appTarget{route: route, path: path}
+	open := match == lists.MatchFound && route.Open
 	switch {
-	case refused != nil && ok && target.route.Open:
-		found = caller{lists: current}
-	case refused != nil:
+	case refused != nil && !open:
 		return found, target, refused
-	case !ok || !target.route.Open && !slices.Contains(found.plan.Routes, target.route.Name):
+	case refused != nil:
+		return caller{lists: current}, target, nil
+	case match == lists.MatchBadPath:
+		return found, target, newProblem(http.StatusBadRequest, "path-invalid", "the path could be read in different ways")
+	case match == lists.MatchMethod:
+		return found, target, newProblem(http.StatusMethodNotAllowed, "method-not-allowed", "no route of this path allows the method")
+	case match != lists.MatchFound || !open && !slices.Contains(found.plan.Routes, route.Name):
 		return found, target, newProblem(http.StatusNotFound, "route-unknown", "the plan has no route for this path")
 	}
-	if methods := target.route.Methods; len(methods) > 0 && !slices.Contains(methods, r.Method) {
-		return found, target, newProblem(http.StatusMethodNotAllowed, "method-not-allowed", "the route allows "+strings.Join(methods, ", "))
-	}
 	return found, target, nil
 }
 
-// findRoute returns the route whose path is the longest prefix.
-func findRoute(current *lists.Lists, escaped string) (appTarget, bool) {
-	pool, path, _ := strings.Cut(strings.TrimPrefix(escaped, pathApps), "/")
-	target := appTarget{path: "/" + path}
-	found := false
-	for _, route := range current.Routes {
-		if string(route.Pool) != pool || !underPath(target.path, route.Path) {
-			continue
-		}
-		if !found || len(route.Path) > len(target.route.Path) {
-			target.route = route
-			found = true
-		}
-	}
-	return target, found
-}
-
-// underPath says whether a path is at or below a prefix, by whole segments.
-func underPath(path, prefix string) bool {
-	if prefix == "" || prefix == "/" {
-		return true
-	}
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
-}
-
 // read checks the request's headers and reads its body: all of it when it must be
 // compared with a claim, and otherwise the first part, whose rest is streamed.
 func (c *appCall) read() *structs.Problem {
--- a/internal/entry/chat_call.go
+++ b/internal/entry/chat_call.go
@@ -102,7 +102,7 @@
 		return true
 	}
 	var problem *structs.Problem
-	if c.claim != nil || refusedByEngine(err) || errors.As(err, &problem) || !c.server.retries.take() {
+	if c.claim != nil || refusedByEngine(err) || errors.Is(err, upstream.ErrOldFence) || errors.As(err, &problem) || !c.server.retries.take() {
 		return false
 	}
 	c.server.metrics.retried("failed")
@@ -195,7 +195,7 @@
 	answer, err := c.send(slot, body)
 	result.FirstToken = c.firstToken
 	switch {
-	case errors.Is(err, upstream.ErrNotSent):
+	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, upstream.ErrOldFence):
 		c.outcome, result.Outcome = before, structs.OutcomeNotRun
 	case err == nil:
 		c.outcome, result.Outcome = structs.OutcomeAnswered, structs.OutcomeAnswered
--- a/internal/entry/check_request.go
+++ b/internal/entry/check_request.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	lower := strings.ToLower(path)
-	for _, hidden := range []string{"%2f", "%5c", "%00", "%0a", "%0d", "%25"} {
+	for _, hidden := range []string{"%2f", "%5c", "%00", "%0a", "%0d"} {
 		if strings.Contains(lower, hidden) {
 			return false
 		}
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -35,6 +35,8 @@
 	switch {
 	case errors.As(err, &problem):
 		return s.keepTrue(problem)
+	case errors.Is(err, upstream.ErrOldFence):
+		return s.keepTrue(retryLater("call-superseded", "the engine has seen a newer call of the program and did not run this one", unreachableRetry))
 	case errors.As(err, &status):
 		return s.statusFailure(status)
 	}
@@ -80,7 +82,7 @@
 // refusedByEngine says whether an engine refused the request for its content.
 func refusedByEngine(err error) bool {
 	var status *upstream.StatusError
-	return errors.As(err, &status) && status.Status/100 == 4 &&
+	return errors.As(err, &status) && !errors.Is(err, upstream.ErrOldFence) && status.Status/100 == 4 &&
 		status.Status != http.StatusTooManyRequests && status.Status != http.StatusRequestTimeout &&
 		status.Status != http.StatusUnauthorized && status.Status != http.StatusForbidden
 }
--- a/internal/upstream/chat.go
+++ b/internal/upstream/chat.go
@@ -28,8 +28,8 @@
 }
 
 // Chat sends a request that is not streamed and returns the whole answer. Errors
-// are ErrNotSent, ErrTimeout, ErrCutShort, ErrForeignAnswer, ErrAnswerTooLong, a
-// *StatusError, or the cause of ctx.
+// are ErrNotSent, ErrTimeout, ErrCutShort, ErrForeignAnswer, ErrAnswerTooLong,
+// ErrOldFence, another *StatusError, or the cause of ctx.
 func (c *Client) Chat(ctx context.Context, address string, call CallHeader, body []byte) (*Answer, error) {
 	limited, cancel := context.WithTimeoutCause(ctx, c.options.Answer, ErrTimeout)
 	defer cancel()
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, statusError(response)
+		return nil, fenced(statusError(response))
 	}
 	answer, err := c.readAnswer(response)
 	if err != nil {
@@ -126,7 +126,7 @@
 		return err
 	}
 	if response.StatusCode != http.StatusOK {
-		return statusError(response)
+		return fenced(statusError(response))
 	}
 	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	if err != nil || kind != "text/event-stream" {
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -36,9 +36,10 @@
 
 // LoadState is the last load report of a replica.
 type LoadState struct {
+	// Load is the report. Its field At is when this host asked for it.
 	Load Load
-	// Received is when the report arrived at this host; zero if none did.
-	Received time.Time
+	// Reported is false until the first report.
+	Reported bool
 	// Failures counts the polls that failed since then.
 	Failures int
 }
@@ -108,14 +109,14 @@
 	return d.read
 }
 
-// Changed returns a channel that is closed when the live replicas change.
+// Changed returns a channel that is closed when replicas or reports have changed.
 func (d *Directory) Changed() <-chan struct{} {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.changed
 }
 
-// Pools returns the names of the pools that have live replicas, in order.
+// Pools returns the names of the pools of the host list, in order.
 func (d *Directory) Pools() []structs.PoolName {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -127,14 +128,26 @@
 	return names
 }
 
-// Replicas returns the live replicas of a pool in order of their IDs. The slice is
-// shared and must not be changed.
+// Replicas returns the replicas of a pool in order of their IDs, the leaving ones
+// included. A replica that reports itself that it leaves has state "leaving". The
+// slice is shared and must not be changed.
 func (d *Directory) Replicas(pool structs.PoolName) []Replica {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.pools[pool]
 }
 
+// Live returns the replicas of a pool that are not leaving, in order of their IDs.
+func (d *Directory) Live(pool structs.PoolName) []Replica {
+	var live []Replica
+	for _, replica := range d.Replicas(pool) {
+		if replica.State == stateLive {
+			live = append(live, replica)
+		}
+	}
+	return live
+}
+
 // Replica returns a replica of the host list, live or leaving.
 func (d *Directory) Replica(id structs.ReplicaID) (Replica, bool) {
 	d.mu.RLock()
@@ -155,12 +168,20 @@
 	return all
 }
 
-// Load returns the last load report of a replica.
-func (d *Directory) Load(id structs.ReplicaID) (LoadState, bool) {
+// Load returns the last load report of a replica; false if there is none. Its field
+// At is when this host asked for it.
+func (d *Directory) Load(id structs.ReplicaID) (Load, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	state := d.loads[id]
+	return state.Load, state.Reported
+}
+
+// LoadState returns what is known of a replica's load, with the failed polls.
+func (d *Directory) LoadState(id structs.ReplicaID) LoadState {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	state, ok := d.loads[id]
-	return state, ok
+	return d.loads[id]
 }
 
 func compareReplicas(a, b Replica) int {
@@ -181,12 +202,12 @@
 	d.rebuildLocked()
 }
 
-// rebuildLocked derives the live replicas from the list and the load reports.
+// rebuildLocked derives the pools from the list and the load reports.
 func (d *Directory) rebuildLocked() {
 	pools := make(map[structs.PoolName][]Replica)
 	for id, replica := range d.replicas {
-		if replica.State == stateLeaving || d.loads[id].Load.Leaving {
-			continue
+		if d.loads[id].Load.Leaving {
+			replica.State = stateLeaving
 		}
 		pools[replica.Pool] = append(pools[replica.Pool], replica)
 	}
@@ -197,6 +218,11 @@
 		return
 	}
 	d.pools = pools
+	d.notifyLocked()
+}
+
+// notifyLocked wakes those that wait for a change.
+func (d *Directory) notifyLocked() {
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
--- a/internal/upstream/directory_poll.go
+++ b/internal/upstream/directory_poll.go
@@ -120,6 +120,9 @@
 		})
 	}
 	_ = group.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notifyLocked()
 }
 
 // pollLoad asks one replica for its load.
@@ -127,6 +130,7 @@
 	limited, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	var load Load
+	asked := time.Now()
 	err := d.options.Client.getJSON(limited, replica.Address, loadPath, maxLoadBytes, &load)
 	if ctx.Err() != nil {
 		return
@@ -144,7 +148,8 @@
 		return
 	}
 	was := state.Load.Leaving
-	d.loads[replica.ID] = LoadState{Load: load, Received: time.Now()}
+	load.At = asked
+	d.loads[replica.ID] = LoadState{Load: load, Reported: true}
 	if was != load.Leaving {
 		d.rebuildLocked()
 	}
