Add the host settings and the check command

One table holds every key with its bounds and default; docs/settings.md is compared with it. The INI library's interpolation, continuation and inline comments are off, since they change credentials.

--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -26,7 +26,9 @@
 
 // commands lists the subcommands in the order of the usage text.
 func commands() []command {
-	return []command{}
+	return []command{
+		{name: "check", summary: "report the faults of a settings file", run: check},
+	}
 }
 
 func main() {
--- a/internal/entry/apps.go
+++ b/internal/entry/apps.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cowslipgw/internal/lists"
+	"cowslipgw/internal/settings"
 	"cowslipgw/internal/structs"
 )
 
@@ -99,7 +100,7 @@
 }
 
 // readStart reads the first part of a body that is streamed.
-func (c *appCall) readStart(limits Limits) *structs.Problem {
+func (c *appCall) readStart(limits settings.Limits) *structs.Problem {
 	if c.incoming.ContentLength > limits.Body {
 		return tooLarge(limits.Body)
 	}
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -18,6 +18,7 @@
 	"cowslipgw/internal/fleet"
 	"cowslipgw/internal/lists"
 	"cowslipgw/internal/program"
+	"cowslipgw/internal/settings"
 	"cowslipgw/internal/structs"
 	"cowslipgw/internal/trace"
 	"cowslipgw/internal/transport"
@@ -46,7 +47,7 @@
 	freshness  *fakeFreshness
 	hosts      *fakeHosts
 	dispatcher *fakeDispatcher
-	limits     entry.Limits
+	limits     settings.Limits
 	server     *entry.Server
 	client     *http.Client
 	// upstreamCalls counts the requests that any replica received.
@@ -106,7 +107,7 @@
 		freshness:  &fakeFreshness{},
 		hosts:      &fakeHosts{view: fleet.View{Hosts: []fleet.Host{host("h1", "a", false), host("h2", "a", false), host("h3", "b", false), host("h4", "a", true)}}},
 		dispatcher: &fakeDispatcher{addresses: []string{firstReplica, otherReplica}},
-		limits:     entry.DefaultLimits(),
+		limits:     settings.Default().Limits,
 	}
 }
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"cowslipgw/internal/account"
 	"cowslipgw/internal/dispatch"
@@ -10,6 +9,7 @@
 	"cowslipgw/internal/fleet"
 	"cowslipgw/internal/lists"
 	"cowslipgw/internal/program"
+	"cowslipgw/internal/settings"
 	"cowslipgw/internal/structs"
 	"cowslipgw/internal/trace"
 	"cowslipgw/internal/upstream"
@@ -68,55 +68,5 @@
 	Upstream   *upstream.Client
 	Logger     *event.Logger
 	Tracer     *trace.Tracer
-	Limits     Limits
-}
-
-// Limits bound what a caller can make the host do.
-type Limits struct {
-	// Body bounds a request body in bytes, AppBuffer the part of an app's request that is
-	// held in memory before it is sent.
-	Body      int64
-	AppBuffer int64
-	// Header and BodyRead bound how long a caller takes to send them.
-	Header   time.Duration
-	BodyRead time.Duration
-	// KeepAlive bounds how long a connection may be idle.
-	KeepAlive time.Duration
-	// Write bounds how long a caller takes to accept one part of an answer.
-	Write time.Duration
-	// Begin bounds the wait for a program's turn, Queue the wait for a replica.
-	Begin time.Duration
-	Queue time.Duration
-	// Settle bounds how long a settlement is tried, whether or not the caller is there.
-	Settle time.Duration
-	// Carry bounds a claimed call whose caller has gone.
-	Carry time.Duration
-	// Window is how long after Begin a call may be sent (see docs/design.md, 5.4).
-	Window time.Duration
-	// Stored bounds an answer that is kept for retries, in bytes.
-	Stored int64
-	// MaxTokens is the completion limit of a call that names none.
-	MaxTokens int64
-	// HostsTTL is how long callers may keep the list of entry hosts.
-	HostsTTL time.Duration
-}
-
-// DefaultLimits returns the limits that the settings start from.
-func DefaultLimits() Limits {
-	return Limits{
-		Body:      16 << 20,
-		AppBuffer: 1 << 20,
-		Header:    5 * time.Second,
-		BodyRead:  30 * time.Second,
-		KeepAlive: 2 * time.Minute,
-		Write:     30 * time.Second,
-		Begin:     2 * time.Minute,
-		Queue:     time.Minute,
-		Settle:    15 * time.Second,
-		Carry:     10 * time.Minute,
-		Window:    2 * time.Second,
-		Stored:    1 << 20,
-		MaxTokens: 4096,
-		HostsTTL:  30 * time.Second,
-	}
+	Limits     settings.Limits
 }
--- /dev/null
+++ b/internal/settings/key.go
@@ -0,0 +1,88 @@
+package settings
+
+import (
+	"time"
+
+	"cowslipgw/internal/structs"
+)
+
+// Bounds that several keys share.
+const (
+	day  = 24 * time.Hour
+	gibi = 1 << 30
+)
+
+// key is one key of the file. Keys without a default must be given, but for those
+// that are optional.
+type key struct {
+	section, name string
+	// standard is the default, in the form of the file.
+	standard string
+	optional bool
+	kind
+}
+
+// credentialKeys are two ways to give the same value.
+const (
+	credentialKey     = "credential"
+	credentialFileKey = "credential_file"
+)
+
+// keys are all keys of the file. This table is the only place of the defaults.
+var keys = []key{
+	{"host", "id", "", false, name(func(h *Host) *structs.HostID { return &h.ID })},
+	{"host", "region", "", false, name(func(h *Host) *structs.Region { return &h.Region })},
+	{"host", "failure_domain", "", false, name(func(h *Host) *structs.Domain { return &h.Domain })},
+	{"host", "entry_address", "", false, address(func(h *Host) *string { return &h.EntryAddress })},
+	{"host", "admin_address", "", false, address(func(h *Host) *string { return &h.AdminAddress })},
+	{"host", "control_address", "", false, address(func(h *Host) *string { return &h.ControlAddress })},
+
+	{"platform", "log", "", false, service(func(h *Host) *string { return &h.Platform.Log })},
+	{"platform", "host_list", "", false, service(func(h *Host) *string { return &h.Platform.HostList })},
+
+	{"upstream", credentialKey, "", true, text(func(h *Host) *string { return &h.Upstream.Credential })},
+	{"upstream", credentialFileKey, "", true, kind{allowed: "the path of a file with one line", set: func(*Host, string) bool { return true }}},
+	{"upstream", "first_byte_timeout", "30s", false, duration(func(h *Host) *time.Duration { return &h.Upstream.FirstByte }, 100*time.Millisecond, time.Hour)},
+	{"upstream", "answer_timeout", "10m", false, duration(func(h *Host) *time.Duration { return &h.Upstream.Answer }, time.Second, day)},
+	{"upstream", "stream_idle_timeout", "30s", false, duration(func(h *Host) *time.Duration { return &h.Upstream.Idle }, 100*time.Millisecond, time.Hour)},
+	// A leaving upstream must get no new work after 3 s, which bounds both intervals.
+	{"upstream", "poll_interval", "1s", false, duration(func(h *Host) *time.Duration { return &h.Upstream.Poll }, 100*time.Millisecond, 1500*time.Millisecond)},
+	{"upstream", "load_interval", "500ms", false, duration(func(h *Host) *time.Duration { return &h.Upstream.LoadPoll }, 50*time.Millisecond, 1500*time.Millisecond)},
+	{"upstream", "answer_limit", "16MiB", false, count(func(h *Host) *int64 { return &h.Upstream.AnswerLimit }, "bytes", 1024, gibi)},
+
+	{"limits", "body", "16MiB", false, count(func(h *Host) *int64 { return &h.Limits.Body }, "bytes", 1024, gibi)},
+	{"limits", "app_buffer", "1MiB", false, count(func(h *Host) *int64 { return &h.Limits.AppBuffer }, "bytes", 0, gibi)},
+	{"limits", "header_timeout", "5s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Header }, 100*time.Millisecond, time.Minute)},
+	{"limits", "body_timeout", "30s", false, duration(func(h *Host) *time.Duration { return &h.Limits.BodyRead }, 100*time.Millisecond, time.Hour)},
+	{"limits", "keep_alive", "2m", false, duration(func(h *Host) *time.Duration { return &h.Limits.KeepAlive }, time.Second, time.Hour)},
+	{"limits", "write_timeout", "30s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Write }, 2*time.Second, time.Hour)},
+	{"limits", "turn_timeout", "2m", false, duration(func(h *Host) *time.Duration { return &h.Limits.Begin }, time.Second, time.Hour)},
+	{"limits", "queue_timeout", "1m", false, duration(func(h *Host) *time.Duration { return &h.Limits.Queue }, 100*time.Millisecond, time.Hour)},
+	{"limits", "settle_timeout", "15s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Settle }, time.Second, 10*time.Minute)},
+	{"limits", "carry_timeout", "10m", false, duration(func(h *Host) *time.Duration { return &h.Limits.Carry }, time.Second, day)},
+	// The owner waits 2 s before it lets another call run (docs/design.md, 5.4).
+	{"limits", "dispatch_window", "2s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Window }, 100*time.Millisecond, 2*time.Second)},
+	{"limits", "stored_answer", "1MiB", false, count(func(h *Host) *int64 { return &h.Limits.Stored }, "bytes", 1024, gibi)},
+	{"limits", "default_max_tokens", "4096", false, count(func(h *Host) *int64 { return &h.Limits.MaxTokens }, "tokens", 1, 1<<24)},
+	{"limits", "entry_hosts_ttl", "30s", false, duration(func(h *Host) *time.Duration { return &h.Limits.HostsTTL }, time.Second, time.Hour)},
+	{"limits", "program_idle", "10m", false, duration(func(h *Host) *time.Duration { return &h.Limits.ProgramIdle }, time.Second, 30*day)},
+	{"limits", "claim_retention", "24h", false, duration(func(h *Host) *time.Duration { return &h.Limits.ClaimRetention }, time.Minute, 30*day)},
+	{"limits", "lists_freshness", "3s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Freshness }, time.Second, 10*time.Second)},
+	{"limits", "lists_stale", "5s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Stale }, 0, 10*time.Second)},
+
+	{"log", "format", "text", false, logFormat()},
+	{"log", "level", "info", false, logLevel()},
+
+	{"trace", "endpoint", "", true, endpoint(func(h *Host) *string { return &h.TraceEndpoint })},
+}
+
+// Default returns the settings that a file with only the required keys has.
+func Default() Host {
+	var host Host
+	for _, k := range keys {
+		if k.standard != "" && !k.set(&host, k.standard) {
+			panic("settings: invalid default of " + k.section + "." + k.name)
+		}
+	}
+	return host
+}
