Add the policy bench with engine emulator, workloads, measures and baselines

Cause: the policy's constants and targets need figures. Change: cowslipgw bench runs internal/sched on a virtual clock before an emulator with continuous batching, chunked prefill and an LRU prefix cache. Ruled out as a baseline: first in, first out that blocks behind a call whose replica is full, since it would be needlessly weak.

--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -26,7 +26,7 @@
 
 // commands lists the subcommands in the order of the usage text.
 func commands() []command {
-	return []command{}
+	return []command{benchCommand()}
 }
 
 func main() {
--- /dev/null
+++ b/internal/bench/limiter.go
@@ -0,0 +1,104 @@
+package bench
+
+import (
+	"time"
+)
+
+// limiter decides whether an account's call is within its rate.
+type limiter interface {
+	// admit takes one token for a call at a host, or says when to try again.
+	admit(account, host int, now time.Duration) (bool, time.Duration)
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	rate, burst, level float64
+	at                 time.Duration
+}
+
+func newBucket(rate, burst float64) *bucket {
+	return &bucket{rate: rate, burst: burst, level: burst}
+}
+
+// refill brings the level up to date.
+func (b *bucket) refill(now time.Duration) {
+	b.level = min(b.burst, b.level+b.rate*(now-b.at).Seconds())
+	b.at = now
+}
+
+// take takes one token, or says when there is one.
+func (b *bucket) take(now time.Duration) (bool, time.Duration) {
+	b.refill(now)
+	if b.level < 1 {
+		return false, time.Duration((1 - b.level) / b.rate * float64(time.Second))
+	}
+	b.level--
+	return true, 0
+}
+
+// fleetLimiter is one exact bucket for each account over all hosts, as the owner
+// of the account's partition keeps it.
+type fleetLimiter struct {
+	buckets []*bucket
+}
+
+func newFleetLimiter(limits []accountLimit) *fleetLimiter {
+	l := &fleetLimiter{}
+	for _, limit := range limits {
+		l.buckets = append(l.buckets, newBucket(limit.rate, float64(limit.burst)))
+	}
+	return l
+}
+
+func (l *fleetLimiter) admit(account, _ int, now time.Duration) (bool, time.Duration) {
+	return l.buckets[account].take(now)
+}
+
+// shareLimiter is the baseline for rates: each host has a fixed share of every
+// account's rate and burst.
+type shareLimiter struct {
+	hosts []*fleetLimiter
+}
+
+func newShareLimiter(limits []accountLimit, hosts int) *shareLimiter {
+	l := &shareLimiter{}
+	for range hosts {
+		shares := &fleetLimiter{}
+		for _, limit := range limits {
+			burst := max(1, float64(limit.burst)/float64(hosts))
+			shares.buckets = append(shares.buckets, newBucket(limit.rate/float64(hosts), burst))
+		}
+		l.hosts = append(l.hosts, shares)
+	}
+	return l
+}
+
+func (l *shareLimiter) admit(account, host int, now time.Duration) (bool, time.Duration) {
+	return l.hosts[host].admit(account, host, now)
+}
+
+// recount follows the decisions of a run with exact buckets over the whole fleet
+// and counts the refusals that were wrong.
+type recount struct {
+	buckets                  []*bucket
+	requests, refused, wrong int
+}
+
+func newRecount(limits []accountLimit) *recount {
+	return &recount{buckets: newFleetLimiter(limits).buckets}
+}
+
+// observe adds one decision. Refusing is wrong when the fleet's bucket had a token.
+func (r *recount) observe(account int, admitted bool, now time.Duration) {
+	r.requests++
+	b := r.buckets[account]
+	b.refill(now)
+	if admitted {
+		b.level--
+		return
+	}
+	r.refused++
+	if b.level >= 1 {
+		r.wrong++
+	}
+}
--- /dev/null
+++ b/internal/bench/policies.go
@@ -0,0 +1,62 @@
+package bench
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cowslipgw/internal/sched"
+)
+
+// policySpec is a policy named on the command line, as NAME or NAME@LIMIT where
+// LIMIT is the most calls in flight at a replica.
+type policySpec struct {
+	name string
+	// make returns a new policy; a new dispatcher starts with one.
+	make func() sched.Policy
+	// shares says that rates are fixed shares of each host.
+	shares bool
+}
+
+// policyNames are the known policies; the first is the one in use.
+func policyNames() []string {
+	return []string{"cowslip", "round-robin", "least-load", "sticky", "sticky-spill", "fixed-share"}
+}
+
+// baselineLimit is the default limit of the baselines, the slots of the emulated
+// engine.
+const baselineLimit = 16
+
+// parsePolicy returns the policy of a name.
+func parsePolicy(text string) (policySpec, error) {
+	name, limitText, hasLimit := strings.Cut(text, "@")
+	settings := sched.DefaultSettings()
+	limit := baselineLimit
+	if hasLimit {
+		value, err := strconv.Atoi(limitText)
+		if err != nil || value < 1 {
+			return policySpec{}, fmt.Errorf("policy %q: the limit must be a positive number", text)
+		}
+		limit = value
+		settings.MaxInFlight = value
+	}
+	spec := policySpec{name: text}
+	switch name {
+	case "cowslip":
+		spec.make = func() sched.Policy { return sched.NewFair(settings) }
+	case "fixed-share":
+		spec.shares = true
+		spec.make = func() sched.Policy { return sched.NewFair(settings) }
+	case "round-robin":
+		spec.make = func() sched.Policy { return newBaseline(limit, &roundRobin{}) }
+	case "least-load":
+		spec.make = func() sched.Policy { return newBaseline(limit, leastReported{}) }
+	case "sticky":
+		spec.make = func() sched.Policy { return newBaseline(limit, newSticky(false)) }
+	case "sticky-spill":
+		spec.make = func() sched.Policy { return newBaseline(limit, newSticky(true)) }
+	default:
+		return policySpec{}, fmt.Errorf("unknown policy %q; known: %s", name, strings.Join(policyNames(), ", "))
+	}
+	return spec, nil
+}
