--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -29,6 +29,7 @@
 	return []command{
 		{name: "check", summary: "report the faults of a settings file", run: check},
 		{name: "standin", summary: "run stand-ins for the outside systems", run: runStandin},
+		benchCommand(),
 	}
 }
 
