Serve a request end to end: hosts, owners and the dev command

Cause: the packages existed side by side; nothing ran as a whole. Change: owner services decide programs, claims and grants at the partition's owner and replicate them; settlements that miss an owner are repeated in the background; a sweeper ends calls of gone hosts and releases engine memory; host wires it all; 'serve' runs one host, 'dev' a small system on loopback. Ruled out: one long Begin call per waiting turn, because a frozen owner would then hold its callers until their deadline; the host asks again every 1.5 s and keeps its place.

--- /dev/null
+++ b/cmd/cowslipgw/dev_system.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"errors"
+	"fmt"
+	"io"
+	"text/template"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cowslipgw/internal/account"
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/host"
+	"cowslipgw/internal/lists"
+	"cowslipgw/internal/logservice"
+	"cowslipgw/internal/settings"
+	"cowslipgw/internal/standin/app"
+	"cowslipgw/internal/standin/engine"
+	"cowslipgw/internal/standin/launch"
+	"cowslipgw/internal/standin/logserver"
+	"cowslipgw/internal/structs"
+	"cowslipgw/internal/trace"
+	"cowslipgw/internal/transport"
+)
+
+// Sizes and times of the system that dev starts.
+const (
+	devReplicas   = 3
+	devReadyLimit = 30 * time.Second
+	devReadyCheck = 20 * time.Millisecond
+	// devHostsTTL is short, so that Ctrl-C does not wait long for idle connections.
+	devHostsTTL = 2 * time.Second
+)
+
+// devDomains are the failure domains of the system that dev starts, one host in each.
+var devDomains = []string{"domain-a", "domain-b", "domain-c"}
+
+//go:embed example/accounts.ini
+var exampleAccounts string
+
+//go:embed example/plans.ini
+var examplePlans string
+
+// devSystem is a running small system.
+type devSystem struct {
+	outside *launch.Process
+	hosts   []*host.Host
+	tracer  *trace.Tracer
+	key     string
+	group   errgroup.Group
+	drain   context.CancelFunc
+}
+
+// startDevSystem starts stand-ins, publishes the example lists and starts the hosts.
+func startDevSystem(ctx context.Context, listen string, logger *event.Logger) (*devSystem, error) {
+	d := &devSystem{}
+	if err := d.start(ctx, listen, logger); err != nil {
+		return nil, errors.Join(err, d.stop())
+	}
+	return d, nil
+}
+
+func (d *devSystem) start(ctx context.Context, listen string, logger *event.Logger) error {
+	var err error
+	if d.tracer, err = trace.New(ctx, trace.Options{}); err != nil {
+		return err
+	}
+	if d.outside, err = launch.Start(ctx, transport.TCP{}, devStandins(), io.Discard); err != nil {
+		return err
+	}
+	if err := d.publishLists(ctx); err != nil {
+		return err
+	}
+	stop, drain := context.WithCancel(context.Background())
+	d.drain = drain
+	for i, domain := range devDomains {
+		s := d.hostSettings(i, domain, listen)
+		h, err := host.New(ctx, host.Options{Settings: s, Network: transport.TCP{}, Logger: logger, Tracer: d.tracer})
+		if err != nil {
+			return err
+		}
+		d.hosts = append(d.hosts, h)
+		d.group.Go(func() error { return h.Run(stop, context.Background()) })
+	}
+	return d.awaitReady(ctx)
+}
+
+// devStandins configures the outside systems.
+func devStandins() *launch.Config {
+	const anyPort = "127.0.0.1:0"
+	pool := func(name string) launch.PoolConfig {
+		return launch.PoolConfig{Name: name, Pool: name, Listen: anyPort, Replicas: devReplicas, Domains: devDomains}
+	}
+	return &launch.Config{
+		Log:   &launch.LogConfig{Listen: anyPort, Settings: logserver.Settings{}},
+		Hosts: &launch.HostsConfig{Listen: anyPort, Lag: 500 * time.Millisecond},
+		Engines: []*launch.EngineConfig{{
+			PoolConfig: pool("llm-pool"),
+			Settings:   engine.Settings{Models: []string{"assistant"}, ChecksFence: true, LoadLag: 500 * time.Millisecond},
+		}},
+		Apps: []*launch.AppConfig{{PoolConfig: pool("app"), Settings: app.Settings{}}},
+	}
+}
+
+// publishLists makes keys and appends the example lists to the log.
+func (d *devSystem) publishLists(ctx context.Context) error {
+	first, err := account.NewKey()
+	if err != nil {
+		return err
+	}
+	second, err := account.NewKey()
+	if err != nil {
+		return err
+	}
+	d.key = first
+	var accounts bytes.Buffer
+	keys := map[string]string{
+		"FirstKey":  lists.HashKey(first).String(),
+		"SecondKey": lists.HashKey(second).String(),
+	}
+	if err := template.Must(template.New("accounts").Parse(exampleAccounts)).Execute(&accounts, keys); err != nil {
+		return err
+	}
+	if _, faults := lists.Parse(accounts.String(), examplePlans); len(faults) > 0 {
+		return fmt.Errorf("example lists: %s", faults[0])
+	}
+	record := lists.Record{ID: "dev-example", By: "dev", Message: "example lists", Accounts: accounts.String(), Plans: examplePlans}
+	data, err := record.Encode()
+	if err != nil {
+		return err
+	}
+	client := logservice.NewClient(transport.TCP{}, d.outside.Address("log"))
+	defer client.Close()
+	_, err = client.Append(ctx, lists.Stream, record.ID, data)
+	return err
+}
+
+// hostSettings returns the settings of the i-th host.
+func (d *devSystem) hostSettings(i int, domain, listen string) settings.Host {
+	s := settings.Default()
+	s.ID = structs.HostID(fmt.Sprintf("host-%d", i+1))
+	s.Region = "local"
+	s.Domain = structs.Domain(domain)
+	s.EntryAddress = "127.0.0.1:0"
+	if i == 0 {
+		s.EntryAddress = listen
+	}
+	s.AdminAddress = "127.0.0.1:0"
+	s.ControlAddress = "127.0.0.1:0"
+	s.Platform = settings.Platform{Log: d.outside.Address("log"), HostList: d.outside.Address("hosts")}
+	s.Upstream.Credential = "dev-host-credential"
+	s.Limits.HostsTTL = devHostsTTL
+	return s
+}
+
+// awaitReady waits until all hosts see each other and serve.
+func (d *devSystem) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, devReadyLimit)
+	defer cancel()
+	ticker := time.NewTicker(devReadyCheck)
+	defer ticker.Stop()
+	for !d.ready() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the hosts were not ready within %v: %w", devReadyLimit, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (d *devSystem) ready() bool {
+	for _, h := range d.hosts {
+		if !h.Ready() || len(h.View().Hosts) != len(d.hosts) {
+			return false
+		}
+	}
+	return true
+}
+
+// stop drains the hosts together and then stops the stand-ins.
+func (d *devSystem) stop() error {
+	var err error
+	if d.drain != nil {
+		d.drain()
+		err = d.group.Wait()
+	}
+	if d.outside != nil {
+		err = errors.Join(err, d.outside.Stop())
+	}
+	return err
+}
--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -27,6 +27,8 @@
 // commands lists the subcommands in the order of the usage text.
 func commands() []command {
 	return []command{
+		serveCommand(),
+		devCommand(),
 		{name: "check", summary: "report the faults of a settings file", run: check},
 		{name: "standin", summary: "run stand-ins for the outside systems", run: runStandin},
 		benchCommand(),
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -26,7 +26,8 @@
 
 // ClientOptions set up a Client.
 type ClientOptions struct {
-	Origin    structs.Origin
+	// Origin names this host with its present incarnation.
+	Origin    func() structs.Origin
 	Owners    Owners
 	Directory Directory
 	// Service is this host's own, for the pools that it owns.
--- a/internal/dispatch/client_local.go
+++ b/internal/dispatch/client_local.go
@@ -26,7 +26,7 @@
 	c.options.Log.Log(event.DispatcherSilent, event.Fields{"pool": request.Pool, "call": request.Call, "replica": first.ID})
 	return Slot{
 		Pool: request.Pool, Replica: first.ID, Address: first.Address,
-		Dispatcher: c.options.Origin.Host, Call: request.Call,
+		Dispatcher: c.options.Origin().Host, Call: request.Call,
 	}, nil
 }
 
--- a/internal/dispatch/client_run.go
+++ b/internal/dispatch/client_run.go
@@ -103,7 +103,7 @@
 // register sends the list and says whether the owner took it.
 func (c *Client) register(ctx context.Context, pool structs.PoolName, address string, calls []Running) bool {
 	if address != selfOwner {
-		args := RegisterArgs{Pool: pool, Origin: c.options.Origin, Calls: calls}
+		args := RegisterArgs{Pool: pool, Origin: c.options.Origin(), Calls: calls}
 		var reply RegisterReply
 		return c.call(ctx, address, "Register", &args, &reply) && !reply.Moved
 	}
@@ -111,6 +111,6 @@
 	if own == nil {
 		return false
 	}
-	own.Register(c.options.Origin, calls)
+	own.Register(c.options.Origin(), calls)
 	return true
 }
--- a/internal/dispatch/fixture_test.go
+++ b/internal/dispatch/fixture_test.go
@@ -155,7 +155,7 @@
 	}
 	go server.Serve(listener)
 	client := NewClient(ClientOptions{
-		Origin: origin(i), Owners: owners, Directory: f.directory, Service: service,
+		Origin: func() structs.Origin { return origin(i) }, Owners: owners, Directory: f.directory, Service: service,
 		Control: control.NewClient(network), Limits: limits, Log: event.Discard(),
 	})
 	go client.Run(ctx)
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -70,3 +70,8 @@
 		}
 	}
 }
+
+// Close breaks all connections.
+func (s *Server) Close() {
+	_ = s.http.Close()
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,235 @@
+package host
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/samber/oops"
+
+	"cowslipgw/internal/account"
+	"cowslipgw/internal/control"
+	"cowslipgw/internal/dispatch"
+	"cowslipgw/internal/entry"
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/fleet"
+	"cowslipgw/internal/lists"
+	"cowslipgw/internal/logservice"
+	"cowslipgw/internal/owner"
+	"cowslipgw/internal/partition"
+	"cowslipgw/internal/program"
+	"cowslipgw/internal/structs"
+	"cowslipgw/internal/upstream"
+)
+
+// logRetention is how long the log service keeps records at the least. Snapshots are
+// appended four times in that time.
+const logRetention = 24 * time.Hour
+
+// Host is one entry host.
+type Host struct {
+	options   Options
+	listeners listeners
+
+	log       *logservice.Client
+	appender  *logservice.Appender
+	member    *fleet.Member
+	store     *lists.Store
+	followers []*logservice.Follower
+
+	controlClient *control.Client
+	controlServer *control.Server
+	manager       *partition.Manager
+	service       *owner.Service
+	owners        *owner.Client
+	sweeper       *owner.Sweeper
+	limiter       *account.Limiter
+
+	upstreams  *upstream.Client
+	directory  *upstream.Directory
+	dispatcher *dispatch.Client
+	pools      *dispatch.Service
+
+	fresh *freshness
+	entry *entry.Server
+}
+
+// listeners are the sockets of one host.
+type listeners struct {
+	entry, admin, control net.Listener
+}
+
+// New opens the host's sockets and wires its parts. Run starts it.
+func New(ctx context.Context, options Options) (*Host, error) {
+	options.Logger = options.Logger.With(event.Fields{"host": options.Settings.ID})
+	opened, err := listen(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{options: options, listeners: opened}
+	h.wireLog()
+	h.wirePartitions()
+	h.wireUpstreams()
+	h.wireEntry()
+	if err := h.register(); err != nil {
+		opened.close()
+		return nil, err
+	}
+	return h, nil
+}
+
+// listen opens the three sockets.
+func listen(ctx context.Context, options Options) (listeners, error) {
+	var opened listeners
+	sockets := []struct {
+		listener *net.Listener
+		address  string
+	}{
+		{&opened.entry, options.Settings.EntryAddress},
+		{&opened.admin, options.Settings.AdminAddress},
+		{&opened.control, options.Settings.ControlAddress},
+	}
+	for _, socket := range sockets {
+		listener, err := options.Network.Listen(ctx, socket.address)
+		if err != nil {
+			opened.close()
+			return listeners{}, oops.In("host").With("address", socket.address).Wrapf(err, "listen")
+		}
+		*socket.listener = listener
+	}
+	return opened, nil
+}
+
+// close closes the sockets that are open.
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.entry, l.admin, l.control} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// wireLog sets up what follows the log: the fleet's view and the lists.
+func (h *Host) wireLog() {
+	s := h.options.Settings
+	h.log = logservice.NewClient(h.options.Network, s.Platform.Log)
+	h.appender = logservice.NewAppender(h.log, h.options.Logger)
+	h.controlClient = control.NewClient(h.options.Network)
+	h.member = fleet.NewMember(fleet.Config{
+		Self: fleet.Host{
+			ID: s.ID, Region: s.Region, Domain: s.Domain,
+			EntryAddress:   h.listeners.entry.Addr().String(),
+			ControlAddress: h.listeners.control.Addr().String(),
+		},
+		Appender:  h.appender,
+		Caller:    h.controlClient,
+		Logger:    h.options.Logger,
+		Retention: logRetention,
+	})
+	h.store = lists.NewStore(time.Now, h.options.Logger)
+	h.follow(fleet.Stream, h.member)
+	h.follow(lists.Stream, listsHandler{h.store})
+	h.fresh = &freshness{
+		current: h.member.Current, complete: h.store.Complete,
+		stale: s.Limits.Stale, logger: h.options.Logger,
+	}
+}
+
+// follow adds a follower of one stream.
+func (h *Host) follow(stream string, handler logservice.Handler) {
+	follower := logservice.NewFollower(h.log, stream, handler, h.options.Logger, logservice.FollowerOptions{})
+	h.followers = append(h.followers, follower)
+	h.member.AddSource(stream, follower)
+}
+
+// wirePartitions sets up replicated state and the operations on it.
+func (h *Host) wirePartitions() {
+	limits := program.DefaultLimits
+	limits.Idle = h.options.Settings.Limits.ProgramIdle
+	limits.Retention = h.options.Settings.Limits.ClaimRetention
+	h.manager = partition.NewManager(partition.Config{
+		Views:  h.member,
+		Caller: h.controlClient,
+		Logger: h.options.Logger,
+		New:    func(id partition.ID) partition.Machine { return program.New(id, limits) },
+		Lost:   h.partitionLost,
+	})
+	h.service = owner.NewService(owner.Options{
+		Proposer: h.manager, Viewer: h.member, Origin: h.origin, Rates: limitsOf(h.store),
+	})
+	router := owner.NewRouter(h.locator(), h.controlClient)
+	h.owners = owner.NewClient(router, h.service)
+	h.limiter = account.NewLimiter(h.owners, h.origin)
+}
+
+// wireUpstreams sets up the pools, their dispatchers and the release of engine memory.
+func (h *Host) wireUpstreams() {
+	s := h.options.Settings.Upstream
+	h.upstreams = upstream.NewClient(upstream.ClientOptions{
+		Network: h.options.Network, Credential: s.Credential, FirstByte: s.FirstByte,
+		Answer: s.Answer, Idle: s.Idle, AnswerLimit: s.AnswerLimit,
+	})
+	h.directory = upstream.NewDirectory(upstream.DirectoryOptions{
+		Client: h.upstreams, HostList: h.options.Settings.Platform.HostList,
+		Poll: s.Poll, LoadPoll: s.LoadPoll, Logger: h.options.Logger,
+	})
+	owners := poolOwners{h.locator()}
+	limits := dispatch.DefaultLimits()
+	limits.Wait = h.options.Settings.Limits.Queue
+	h.pools = dispatch.NewService(dispatch.ServiceOptions{
+		Host: h.options.Settings.ID, Owners: owners, Directory: h.directory, Limits: limits, Log: h.options.Logger,
+	})
+	h.dispatcher = dispatch.NewClient(dispatch.ClientOptions{
+		Origin: h.origin, Owners: owners, Directory: h.directory, Service: h.pools,
+		Control: h.controlClient, Limits: limits, Log: h.options.Logger,
+	})
+	h.sweeper = owner.NewSweeper(h.service, owner.SweeperOptions{
+		Owned: h.manager, Directory: h.directory, Orders: h.upstreams, Logger: h.options.Logger,
+	})
+}
+
+// wireEntry sets up the server for callers.
+func (h *Host) wireEntry() {
+	h.entry = entry.New(entry.Options{
+		Programs: h.owners, Claims: h.owners, Rates: rates{h.limiter}, Lists: h.store,
+		Freshness: h.fresh, Hosts: h.member, Dispatcher: h.dispatcher, Upstream: h.upstreams,
+		Logger: h.options.Logger, Tracer: h.options.Tracer, Limits: h.options.Settings.Limits,
+	})
+}
+
+// register adds the services that other hosts call.
+func (h *Host) register() error {
+	h.controlServer = control.NewServer()
+	if err := h.controlServer.Register(fleet.ServiceName, fleet.NewService(h.member)); err != nil {
+		return err
+	}
+	if err := h.controlServer.Register(partition.ServiceName, partition.NewService(h.manager)); err != nil {
+		return err
+	}
+	if err := owner.Register(h.controlServer, h.service, h.options.Tracer); err != nil {
+		return err
+	}
+	return dispatch.RegisterService(h.controlServer, h.pools, h.options.Tracer)
+}
+
+func (h *Host) locator() *locator {
+	return &locator{member: h.member, manager: h.manager}
+}
+
+// origin names this host with its present incarnation.
+func (h *Host) origin() structs.Origin {
+	return structs.Origin{Host: h.options.Settings.ID, Incarnation: h.member.Incarnation()}
+}
+
+// EntryAddress returns the "ip:port" that callers connect to.
+func (h *Host) EntryAddress() string { return h.listeners.entry.Addr().String() }
+
+// AdminAddress returns the "ip:port" that operators connect to.
+func (h *Host) AdminAddress() string { return h.listeners.admin.Addr().String() }
+
+// partitionLost marks a partition whose copies may all be gone, so that idempotency
+// keys of before are answered as unknown.
+func (h *Host) partitionLost(id partition.ID, machine partition.Machine) {
+	h.options.Logger.Log(event.CopiesLost, event.Fields{"partition": id})
+	h.service.MarkLossy(machine)
+}
--- /dev/null
+++ b/internal/host/run.go
@@ -0,0 +1,145 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/structs"
+)
+
+const (
+	// handoverCheck is how often a leaving host looks whether its partitions are taken
+	// over.
+	handoverCheck = 50 * time.Millisecond
+	// leaveLimit bounds the wait for the log during a planned stop. Without the log the
+	// host cannot leave the view and stops all the same: the others evict it later.
+	leaveLimit = 30 * time.Second
+)
+
+// Run serves until stop ends and then drains: no running request is cut. When kill
+// ends, the host stops at once, as when its process dies.
+func (h *Host) Run(stop, kill context.Context) error {
+	background, cancel := context.WithCancel(kill)
+	defer cancel()
+	group, groupCtx := errgroup.WithContext(background)
+	h.start(groupCtx, group)
+	h.options.Logger.Log(event.HostStarted, event.Fields{"entry": h.EntryAddress(), "admin": h.AdminAddress()})
+	select {
+	case <-stop.Done():
+		h.drain(groupCtx)
+	case <-groupCtx.Done():
+	}
+	cancel()
+	h.closeAll()
+	err := group.Wait()
+	h.options.Logger.Log(event.HostStopped, nil)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// start runs the host's parts.
+func (h *Host) start(ctx context.Context, group *errgroup.Group) {
+	run := func(part func(context.Context)) {
+		group.Go(func() error {
+			part(ctx)
+			return nil
+		})
+	}
+	group.Go(func() error {
+		h.controlServer.Serve(h.listeners.control)
+		return nil
+	})
+	for _, follower := range h.followers {
+		run(follower.Run)
+	}
+	run(h.member.Run)
+	run(h.manager.Run)
+	run(h.service.Run)
+	run(h.owners.Run)
+	run(h.sweeper.Run)
+	run(h.dispatcher.Run)
+	run(h.fresh.run)
+	run(h.followView)
+	run(func(ctx context.Context) { h.limiter.Run(ctx, limitsOf(h.store)) })
+	run(func(ctx context.Context) { _ = h.directory.Run(ctx) })
+	group.Go(func() error { return h.entry.Serve(h.listeners.entry) })
+}
+
+// followView tells the parts that depend on the view when it changes.
+func (h *Host) followView(ctx context.Context) {
+	for {
+		changed := h.member.Changed()
+		view := h.member.View()
+		live := make(map[structs.HostID]structs.Incarnation, len(view.Hosts))
+		for _, host := range view.Hosts {
+			live[host.ID] = host.Incarnation
+		}
+		h.appender.SetHosts(max(1, len(live)))
+		h.pools.ViewChanged(view.Number, live)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// drain leaves the fleet without cutting a request (docs/design.md, section 5.8).
+func (h *Host) drain(ctx context.Context) {
+	h.options.Logger.Log(event.HostDraining, nil)
+	h.entry.StartDrain()
+	h.leave(ctx)
+	if err := h.entry.Shutdown(ctx); err != nil {
+		h.options.Logger.Log(event.DrainIncomplete, event.Fields{"error": err.Error()})
+	}
+	h.awaitHandover(ctx)
+	limited, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	if err := h.member.Left(limited); err != nil {
+		h.options.Logger.Log(event.DrainIncomplete, event.Fields{"error": err.Error()})
+	}
+}
+
+// leave states that this host leaves and waits until the others have its partitions.
+func (h *Host) leave(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	if err := h.member.Leave(limited); err != nil {
+		h.options.Logger.Log(event.DrainIncomplete, event.Fields{"error": err.Error()})
+		return
+	}
+	h.awaitHandover(limited)
+}
+
+// awaitHandover waits until no other host needs this host's copies and no settlement
+// waits here.
+func (h *Host) awaitHandover(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	ticker := time.NewTicker(handoverCheck)
+	defer ticker.Stop()
+	for !h.manager.HandedOver() || h.owners.Backlog() > 0 {
+		select {
+		case <-limited.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// closeAll closes sockets and connections.
+func (h *Host) closeAll() {
+	h.listeners.close()
+	h.entry.Close()
+	h.controlServer.Close()
+	h.controlClient.Close()
+	h.pools.Close()
+	h.upstreams.Close()
+	h.log.Close()
+}
--- /dev/null
+++ b/internal/owner/claim.go
@@ -0,0 +1,32 @@
+package owner
+
+import (
+	"context"
+	"errors"
+
+	"cowslipgw/internal/program"
+)
+
+// Open opens an idempotency claim or says what is known of it.
+func (s *Service) Open(ctx context.Context, request program.OpenRequest) (program.OpenResult, error) {
+	var result program.OpenResult
+	err := s.propose(ctx, PartitionOfClaim(request.Claim), func(state *program.State) ([]byte, error) {
+		var op []byte
+		var err error
+		result, op, err = state.DecideOpen(request, s.inView, s.clock())
+		return op, err
+	})
+	return result, err
+}
+
+// Close ends a claim. A claim that another call holds, or that has expired, is left as
+// it is.
+func (s *Service) Close(ctx context.Context, request program.CloseRequest) (Empty, error) {
+	err := s.propose(ctx, PartitionOfClaim(request.Claim), func(state *program.State) ([]byte, error) {
+		return state.DecideClose(request, s.clock())
+	})
+	if errors.Is(err, program.ErrCallEnded) {
+		return Empty{}, nil
+	}
+	return Empty{}, err
+}
--- /dev/null
+++ b/internal/owner/client.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"context"
+	"errors"
+
+	"cowslipgw/internal/account"
+	"cowslipgw/internal/program"
+)
+
+// Client runs operations of this host at the owners of their partitions.
+type Client struct {
+	router  *Router
+	service *Service
+	backlog *backlog
+}
+
+// NewClient returns a client. service decides for the partitions that this host owns
+// itself. Run must be running.
+func NewClient(router *Router, service *Service) *Client {
+	return &Client{router: router, service: service, backlog: newBacklog()}
+}
+
+// Run repeats settlements that did not reach an owner in time, until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.backlog.run(ctx)
+}
+
+// Backlog counts the settlements that are still being repeated.
+func (c *Client) Backlog() int {
+	return c.backlog.size()
+}
+
+// Begin begins a call and waits for its turn until ctx ends. The call may have begun
+// after ErrUncertain; the caller settles it then.
+func (c *Client) Begin(ctx context.Context, request program.BeginRequest) (program.BeginResult, error) {
+	ctx, cancel := withDefaultTimeout(ctx)
+	defer cancel()
+	id := PartitionOfProgram(request.Key)
+	for {
+		answer, err := send(ctx, c.router, id, methodBegin, request, c.service.Begin)
+		if err != nil {
+			return program.BeginResult{}, err
+		}
+		if !answer.Waiting {
+			return answer.Result, nil
+		}
+		if ctx.Err() != nil {
+			return program.BeginResult{}, errors.Join(ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+// Settle ends a call. When ctx ends first, the settlement is repeated in the
+// background, since a call that stays open blocks its program.
+func (c *Client) Settle(ctx context.Context, request program.SettleRequest) error {
+	settle := func(ctx context.Context) error {
+		_, err := send(ctx, c.router, PartitionOfProgram(request.Key), methodSettle, request, c.service.Settle)
+		return err
+	}
+	return c.backlog.try(ctx, settle)
+}
+
+// End ends a program.
+func (c *Client) End(ctx context.Context, request program.EndRequest) error {
+	_, err := send(ctx, c.router, PartitionOfProgram(request.Key), methodEnd, request, c.service.End)
+	return err
+}
+
+// Open opens an idempotency claim. The claim may be open after ErrUncertain; the caller
+// closes it then as not run.
+func (c *Client) Open(ctx context.Context, request program.OpenRequest) (program.OpenResult, error) {
+	return send(ctx, c.router, PartitionOfClaim(request.Claim), methodOpen, request, c.service.Open)
+}
+
+// Close ends a claim. When ctx ends first, it is repeated in the background, since a
+// claim without outcome makes retries fail as unknown.
+func (c *Client) Close(ctx context.Context, request program.CloseRequest) error {
+	closeClaim := func(ctx context.Context) error {
+		_, err := send(ctx, c.router, PartitionOfClaim(request.Claim), methodClose, request, c.service.Close)
+		return err
+	}
+	return c.backlog.try(ctx, closeClaim)
+}
+
+// Grant asks for rate tokens.
+func (c *Client) Grant(ctx context.Context, request account.GrantRequest) (account.GrantResult, error) {
+	return send(ctx, c.router, PartitionOfAccount(request.Account), methodGrant, request, c.service.Grant)
+}
--- a/internal/program/end.go
+++ b/internal/program/end.go
@@ -135,3 +135,14 @@
 		delete(s.releases, op.Replica)
 	}
 }
+
+// Releasing reports whether a program's memory at a replica is to be released.
+func (s *State) Releasing(replica structs.ReplicaID, number uint64) bool {
+	_, pending := s.releases[replica][number]
+	return pending
+}
+
+// Fence returns a fencing number that is as high as that of any call begun so far.
+func (s *State) Fence() uint64 {
+	return s.number(s.counter)
+}
--- a/internal/program/waiting.go
+++ b/internal/program/waiting.go
@@ -41,6 +41,17 @@
 	return t.ready
 }
 
+// Again makes Ready receive if the ticket is the first of its queue. The owner calls it
+// when a host asks again for a call that kept its place.
+func (t *Ticket) Again() {
+	w := t.waiting
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if queue := w.queues[t.key]; len(queue) > 0 && queue[0] == t {
+		t.signal()
+	}
+}
+
 // Leave gives up the place, after the call has begun or its caller has gone.
 func (t *Ticket) Leave() {
 	w := t.waiting
--- a/internal/standin/launch/run.go
+++ b/internal/standin/launch/run.go
@@ -28,6 +28,8 @@
 	ready    io.Writer
 	services []service
 	replicas []hostlist.Replica
+	// addresses holds the "ip:port" of each service by its label.
+	addresses map[string]string
 }
 
 // service is one listening stand-in.
@@ -41,8 +43,7 @@
 // 127.0.0.1:7001" or "ready engine llm-1 127.0.0.1:7002", and runs until ctx ends.
 // It then stops accepting, waits for running requests and returns.
 func Run(ctx context.Context, network transport.Network, config *Config, ready io.Writer) error {
-	p := &Process{network: network, ready: ready}
-	err := p.start(ctx, config)
+	p, err := Start(ctx, network, config, ready)
 	if err == nil {
 		<-ctx.Done()
 	}
@@ -128,6 +129,7 @@
 		return "", fmt.Errorf("%s: %w", label, err)
 	}
 	p.services = append(p.services, service{server: server, before: before, after: after})
+	p.addresses[label] = server.Address()
 	_, err = fmt.Fprintf(p.ready, "ready %s %s\n", label, server.Address())
 	return server.Address(), err
 }
