--- a/internal/logservice/appender.go
+++ b/internal/logservice/appender.go
@@ -57,8 +57,8 @@
 
 // Append queues a record and returns its offset when it is in the log. It retries
 // with the same ID until then, so the record may be in the log more than once.
-// Errors are ErrQueueFull and ErrRejected (not in the log) and ErrUnavailable
-// joined with the error of ctx (may be in the log).
+// Errors are ErrNotAppended and ErrRejected (not in the log) and ErrUnavailable (may
+// be in the log). When ctx ended, its error is joined.
 func (a *Appender) Append(ctx context.Context, stream, id string, data []byte) (structs.Offset, error) {
 	turn, err := a.enter(stream)
 	if err != nil {
@@ -102,7 +102,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.queued >= maxQueued {
-		return nil, oops.In("logservice").With("stream", stream).Wrap(ErrQueueFull)
+		return nil, oops.In("logservice").With("stream", stream).Wrap(errors.Join(ErrNotAppended, ErrQueueFull))
 	}
 	a.queued++
 	turn := a.turns[stream]
@@ -126,6 +126,12 @@
 	return a.queued
 }
 
+// giveUp returns the error of an append whose ctx ended; last is that of the last
+// attempt, nil when none was made.
 func (a *Appender) giveUp(ctx context.Context, stream string, last error) error {
-	return oops.In("logservice").With("stream", stream).Wrap(errors.Join(ErrUnavailable, context.Cause(ctx), last))
+	kind := ErrUnavailable
+	if last == nil {
+		kind = ErrNotAppended
+	}
+	return oops.In("logservice").With("stream", stream).Wrap(errors.Join(kind, context.Cause(ctx), last))
 }
--- a/internal/logservice/appender_test.go
+++ b/internal/logservice/appender_test.go
@@ -66,6 +66,11 @@
 		}
 		time.Sleep(time.Hour)
 		is.Equal(appender.Queued(), 5)
+		behind, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = appender.Append(behind, "fleet", "behind", nil)
+		is.True(errors.Is(err, logservice.ErrNotAppended)) // it never left the queue
+		is.True(!errors.Is(err, logservice.ErrUnavailable))
 		w.server.SetFaults(logserver.Faults{})
 		done.Wait()
 		for i, record := range w.server.Records("fleet") {
--- a/internal/logservice/errors.go
+++ b/internal/logservice/errors.go
@@ -13,7 +13,10 @@
 	// ErrMalformed means that the log's answer breaks its protocol. It is always joined
 	// with ErrUnavailable.
 	ErrMalformed = errors.New("malformed answer from the log service")
-	// ErrQueueFull means that the appender holds as many waiting appends as it may. The
-	// record is not in the log.
+	// ErrNotAppended means that no attempt to append was made. The record is not in the
+	// log.
+	ErrNotAppended = errors.New("record not appended")
+	// ErrQueueFull means that the appender holds as many waiting appends as it may. It
+	// is always joined with ErrNotAppended.
 	ErrQueueFull = errors.New("append queue is full")
 )
--- /dev/null
+++ b/internal/standin/engine/chat_test.go
@@ -0,0 +1,213 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"cowslipgw/internal/standin/engine"
+)
+
+// TestChatClient guards against answers that a stock client does not read, whole
+// or streamed, and against token counts and limits that differ between the two.
+func TestChatClient(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, engine.Settings{ResumeWindow: time.Second})
+		client := openai.NewClient(option.WithBaseURL("http://"+address+"/v1/"), option.WithHTTPClient(w.http),
+			option.WithAPIKey("k"), option.WithMaxRetries(0), option.WithHeader("X-Call-Id", "c1"))
+		params := openai.ChatCompletionNewParams{
+			Model:         "default-llm",
+			Messages:      []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("be brief"), openai.UserMessage("hola ¿qué tal?")},
+			StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
+		}
+		whole, err := client.Chat.Completions.New(t.Context(), params)
+		is.NoErr(err)
+		const want = "I see 2 messages. The last user message is: hola ¿qué tal?"
+		is.Equal(whole.Choices[0].Message.Content, want)
+		is.Equal(whole.Choices[0].FinishReason, "stop")
+		is.True(whole.Usage.CompletionTokens >= int64(len(want))/4-1)
+		is.True(whole.Usage.CompletionTokens <= int64(len(want))/4+1)
+
+		streamed := client.Chat.Completions.NewStreaming(t.Context(), params)
+		var all openai.ChatCompletionAccumulator
+		for streamed.Next() {
+			is.True(all.AddChunk(streamed.Current()))
+		}
+		is.NoErr(streamed.Err())
+		is.Equal(all.Choices[0].Message.Content, want)
+		is.Equal(all.Usage.CompletionTokens, whole.Usage.CompletionTokens)
+		is.Equal(all.Usage.PromptTokens, whole.Usage.PromptTokens)
+		is.True(all.Usage.PromptTokensDetails.CachedTokens > 0)
+
+		params.MaxTokens = openai.Int(3)
+		short, err := client.Chat.Completions.New(t.Context(), params)
+		is.NoErr(err)
+		is.Equal(short.Usage.CompletionTokens, int64(3))
+		is.Equal(short.Choices[0].FinishReason, "length")
+		is.Equal(w.engine.Requests()[0].Header.Get("Authorization"), "Bearer k")
+	})
+}
+
+// TestBatching guards against an engine that runs more calls than it has slots,
+// that runs them one after the other, or that ignores priorities.
+func TestBatching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, engine.Settings{Slots: 2, StepBase: 10 * time.Millisecond, StepPerCall: time.Millisecond})
+		var mu sync.Mutex
+		var order []string
+		var calls sync.WaitGroup
+		start := time.Now()
+		begin := func(name string, priority int) {
+			calls.Go(func() {
+				w.chat(turns(fmt.Sprintf(`,"priority":%d,"min_tokens":100,"max_tokens":100`, priority), name))
+				mu.Lock()
+				defer mu.Unlock()
+				order = append(order, name)
+			})
+			synctest.Wait()
+		}
+		begin("a", 0)
+		time.Sleep(time.Millisecond)
+		begin("b", 0)
+		time.Sleep(time.Millisecond)
+		begin("late", 9)
+		time.Sleep(time.Millisecond)
+		begin("soon", 1)
+		time.Sleep(50 * time.Millisecond)
+		load := w.engine.Load()
+		is.Equal(load.Running, 2)
+		is.Equal(load.Queued, 2)
+		calls.Wait()
+		is.Equal(order, []string{"a", "b", "soon", "late"})
+		// Two rounds of 100 steps, each of 11 to 12 ms, and a few steps of prefill.
+		took := time.Since(start)
+		is.True(took >= 2*100*11*time.Millisecond)
+		is.True(took <= 2*106*12*time.Millisecond)
+		is.Equal(w.engine.Decoded(), int64(400))
+	})
+}
+
+// TestDisconnectCancels guards against calls that use a slot although their client
+// has left.
+func TestDisconnectCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, engine.Settings{})
+		for _, extra := range []string{``, `,"stream":true`} {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			response, err := w.do(ctx, http.MethodPost, "/v1/chat/completions", turns(extra+`,"min_tokens":1000`, "hi"))
+			if err == nil {
+				_, err = readStream(response.Body, 0)
+				response.Body.Close()
+			}
+			cancel()
+			is.True(err != nil)
+			synctest.Wait()
+			is.Equal(w.engine.Load().Running, 0)
+		}
+	})
+}
+
+// TestCancelOrder guards against a call that goes on after it was cancelled, and
+// against a cancel order with an old fencing number.
+func TestCancelOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, engine.Settings{ChecksFence: true})
+		response, err := w.do(t.Context(), http.MethodPost, "/v1/chat/completions",
+			turns(`,"stream":true,"min_tokens":1000`, "hi"), "X-Call-Id: c1", "X-Fence: 7")
+		is.NoErr(err)
+		defer response.Body.Close()
+		is.Equal(w.order(engine.Order{Kind: engine.OrderCancel, Call: "c1", Fence: 6}), http.StatusConflict)
+		is.Equal(w.engine.Load().Running, 1)
+		is.Equal(w.order(engine.Order{Kind: engine.OrderCancel, Call: "c1", Fence: 7}), http.StatusOK)
+		is.Equal(w.engine.Load().Running, 0)
+		s, err := readStream(response.Body, 0)
+		is.NoErr(err)
+		is.True(!s.done) // a cancelled stream must not look complete
+	})
+}
+
+// TestResume guards against a resumed stream that repeats or misses tokens, and
+// against calls that go on for ever when nobody resumes them.
+func TestResume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, engine.Settings{ResumeWindow: 2 * time.Second})
+		body := turns(`,"stream":true,"min_tokens":60`, "hi")
+		want := w.chat(body[:len(body)-1] + `,"stream":false}`).Choices[0].Message.Content
+		begin := func(headers ...string) *http.Response {
+			response, err := w.do(t.Context(), http.MethodPost, "/v1/chat/completions", body, headers...)
+			is.NoErr(err)
+			return response
+		}
+		first := begin("X-Call-Id: c1")
+		start, err := readStream(first.Body, 20)
+		is.NoErr(err)
+		first.Body.Close()
+		time.Sleep(time.Second)
+		second := begin("X-Call-Id: c1", "Last-Event-ID: "+start.lastID)
+		rest, err := readStream(second.Body, 0)
+		is.NoErr(err)
+		second.Body.Close()
+		is.True(rest.done)
+		is.Equal(start.text+rest.text, want)
+
+		third := begin("X-Call-Id: c2")
+		_, err = readStream(third.Body, 1)
+		is.NoErr(err)
+		third.Body.Close()
+		time.Sleep(3 * time.Second)
+		is.Equal(w.engine.Load().Running, 0)
+		expired := begin("X-Call-Id: c2", "Last-Event-ID: 1")
+		expired.Body.Close()
+		is.Equal(expired.StatusCode, http.StatusNotFound)
+	})
+}
+
+// TestFaults guards against faults that do not happen, so that tests of the
+// gateway would pass without having tested anything.
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t, engine.Settings{})
+		body := turns(`,"stream":true,"min_tokens":50`, "hi")
+
+		is.Equal(w.json(http.MethodPost, "/faults", `{"die_after_tokens":5,"times":1}`, nil), http.StatusNoContent)
+		response, err := w.do(t.Context(), http.MethodPost, "/v1/chat/completions", body)
+		is.NoErr(err)
+		s, err := readStream(response.Body, 0)
+		response.Body.Close()
+		is.True(err != nil)
+		is.Equal(s.tokens, 5)
+		is.Equal(w.engine.Load().Running, 0)
+
+		w.engine.SetFaults(engine.Faults{Hang: true, Times: 1})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		_, err = w.do(ctx, http.MethodPost, "/v1/chat/completions", body)
+		cancel()
+		is.True(err != nil)
+
+		w.engine.SetFaults(engine.Faults{FailStatus: 500, Times: 1})
+		is.Equal(w.chat(body).status, 500)
+
+		start := time.Now()
+		w.chat(strings.Replace(body, `"stream":true`, `"stream":false`, 1))
+		normal := time.Since(start)
+		w.engine.SetFaults(engine.Faults{SlowFactor: 10})
+		start = time.Now()
+		w.chat(strings.Replace(body, `"stream":true`, `"stream":false`, 1))
+		is.True(time.Since(start) >= 9*normal)
+	})
+}
