engine: wait for the slot in the test of cancel orders

With -count=30 the test once looked at the load before the batch had admitted the call (0 running, 1 queued).

--- a/internal/standin/engine/chat_test.go
+++ b/internal/standin/engine/chat_test.go
@@ -129,6 +129,7 @@
 			turns(`,"stream":true,"min_tokens":1000`, "hi"), "X-Call-Id: c1", "X-Fence: 7")
 		is.NoErr(err)
 		defer response.Body.Close()
+		synctest.Wait() // the call has a slot now
 		is.Equal(w.order(engine.Order{Kind: engine.OrderCancel, Call: "c1", Fence: 6}), http.StatusConflict)
 		is.Equal(w.engine.Load().Running, 1)
 		is.Equal(w.order(engine.Order{Kind: engine.OrderCancel, Call: "c1", Fence: 7}), http.StatusOK)
