account: refill that was lost to unreported tokens comes back with the report

Cause: held tokens stop the refill at the burst, so requests within the rate were refused while reports were under way. Change: reports say when tokens were spent; the bucket remembers the times of lost refill and credits each once. Accounts with a small burst report at once and fetch nothing ahead. Ruled out: counting tokens as spent when granted, since a host spends them later and a window could then exceed burst + rate x t; one span of lost refill, which loses refill when hosts report out of order. A burst of 1 is outside the test: each token costs its round trip.

--- a/internal/account/bucket.go
+++ b/internal/account/bucket.go
@@ -34,18 +34,26 @@
 	Rate  float64 `cbor:"1,keyasint"`
 	Burst int64   `cbor:"2,keyasint"`
 	Level float64 `cbor:"3,keyasint"`
-	// Owner measured Mark, LostFrom, LostTo and the holdings' times on its monotonic
+	// Owner measured Mark, Lost and the holdings' times on its monotonic
 	// clock. Another owner starts again from its own clock without a refill.
 	Owner structs.Origin `cbor:"4,keyasint"`
 	// Mark is the time up to which the bucket was refilled.
 	Mark time.Duration `cbor:"5,keyasint"`
-	// From LostFrom to LostTo the bucket was full together with the held tokens, so that
-	// its refill was lost. A report that tokens had been spent before that time brings
-	// the refill back.
-	LostFrom time.Duration `cbor:"6,keyasint,omitempty"`
-	LostTo   time.Duration `cbor:"7,keyasint,omitempty"`
+	// Lost are the times, in order, in which the bucket was full together with the held
+	// tokens, so that its refill was lost. A report that tokens had been spent before
+	// such a time brings the refill back.
+	Lost []span `cbor:"6,keyasint,omitempty"`
 }
 
+// span is a time from one point to another.
+type span struct {
+	From time.Duration `cbor:"1,keyasint"`
+	To   time.Duration `cbor:"2,keyasint"`
+}
+
+// maxLost limits the remembered spans; the oldest are dropped, which loses their refill.
+const maxLost = 16
+
 // holding is what one host holds of an account's tokens.
 type holding struct {
 	// Seq is the last request applied and Granted its answer.
@@ -53,7 +61,8 @@
 	Granted int64  `cbor:"2,keyasint,omitempty"`
 	// Held are the tokens granted and neither reported spent nor returned.
 	Held int64 `cbor:"3,keyasint,omitempty"`
-	// Ahead are the tokens of the last grant that the host did not need at once.
+	// Ahead are the held tokens that the host did not need at once after its last
+	// request.
 	Ahead int64 `cbor:"4,keyasint,omitempty"`
 	// Contact is the time of the last request.
 	Contact time.Duration `cbor:"5,keyasint,omitempty"`
@@ -69,31 +78,52 @@
 	room := max(0, float64(b.Burst)-float64(held)-b.Level)
 	b.Level += min(due, room)
 	if due > room {
-		continued := room <= levelTolerance && b.LostTo == b.Mark && b.LostFrom < b.LostTo
-		if !continued {
-			b.LostFrom = now - time.Duration(math.Floor((due-room)/b.Rate*float64(time.Second)))
-		}
-		b.LostTo = now
+		b.lose(b.Mark+elapsed-time.Duration(math.Floor((due-room)/b.Rate*float64(time.Second))), now, room)
 	}
 	b.Mark = now
 }
 
-// spend takes tokens out of what hosts hold and brings back the refill that was lost
-// because they were still counted. The time from the spending on is credited at most
-// once.
-func (b *bucket) spend(tokens int64, at time.Duration) {
-	from := max(at, b.LostFrom)
-	if b.LostTo <= from {
+// lose remembers a span of lost refill. Without room it continues the last one.
+func (b *bucket) lose(from, to time.Duration, room float64) {
+	// Operations and decisions share the slice, so it is copied before a change.
+	b.Lost = append([]span(nil), b.Lost...)
+	if b.losing() && room <= levelTolerance {
+		b.Lost[len(b.Lost)-1].To = to
 		return
 	}
-	due := b.Rate * (b.LostTo - from).Seconds()
-	if due <= float64(tokens) {
+	b.Lost = append(b.Lost, span{from, to})
+	b.Lost = b.Lost[max(0, len(b.Lost)-maxLost):]
+}
+
+// losing reports whether refill is being lost, which a report may bring back.
+func (b *bucket) losing() bool {
+	return len(b.Lost) > 0 && b.Lost[len(b.Lost)-1].To == b.Mark
+}
+
+// spend takes tokens out of what hosts hold and brings back the refill that was lost
+// because they were still counted. Each moment after the spending is credited at most
+// once, the earliest first, as a bucket that knew of the spending would have refilled.
+func (b *bucket) spend(tokens int64, at time.Duration) {
+	left := float64(tokens)
+	var kept []span
+	for _, lost := range b.Lost {
+		from := max(at, lost.From)
+		due := min(left, b.Rate*(lost.To-from).Seconds())
+		if due <= 0 {
+			kept = append(kept, lost)
+			continue
+		}
 		b.Level += due
-		b.LostTo = from
-		return
+		left -= due
+		credited := from + time.Duration(math.Ceil(due/b.Rate*float64(time.Second)))
+		if lost.From < from {
+			kept = append(kept, span{lost.From, from})
+		}
+		if credited < lost.To {
+			kept = append(kept, span{credited, lost.To})
+		}
 	}
-	b.Level += float64(tokens)
-	b.LostFrom = from + time.Duration(math.Ceil(float64(tokens)/b.Rate*float64(time.Second)))
+	b.Lost = kept[max(0, len(kept)-maxLost):]
 }
 
 // takeOver makes the owner's clock the bucket's. Nothing is refilled for the time that
@@ -101,12 +131,15 @@
 func (b *bucket) takeOver(clock structs.OwnerClock) {
 	b.Owner = clock.Self
 	b.Mark = clock.Mono
-	b.LostFrom = 0
-	b.LostTo = 0
+	b.Lost = nil
 }
 
 // limit sets the account's rate and burst. A larger burst is filled by the rate.
 func (b *bucket) limit(rate float64, burst, held int64) {
+	if b.Rate != rate || b.Burst != burst {
+		// Lost refill is worth what it was under the old limits.
+		b.Lost = nil
+	}
 	b.Rate = rate
 	b.Burst = burst
 	b.Level = min(b.Level, max(0, float64(burst-held)))
--- a/internal/account/buckets.go
+++ b/internal/account/buckets.go
@@ -68,7 +68,7 @@
 	op.Bucket = work.bucket
 	op.Holding = holding{
 		Seq: req.Seq, Granted: granted, Held: holds.Held + granted,
-		Ahead: max(0, granted-req.Need), Contact: clock.Mono,
+		Ahead: holds.Held + granted - min(granted, max(0, req.Need)), Contact: clock.Mono,
 	}
 	return work.result(req, granted, clock), op
 }
@@ -148,7 +148,7 @@
 	}
 	result.RetryAfter = e.until(float64(req.Need - granted))
 	for origin, h := range e.hosts {
-		settled := h.Ahead == 0 && clock.Mono-h.Contact < reportedWithin
+		settled := h.Ahead == 0 && clock.Mono-h.Contact < reportedWithin && !e.losing()
 		if origin != req.Origin && !settled {
 			result.Unsettled += h.Held
 		}
--- a/internal/account/limiter.go
+++ b/internal/account/limiter.go
@@ -13,11 +13,11 @@
 const (
 	// unusedFor is how long a host keeps a granted token that it does not use.
 	unusedFor = time.Second
-	// reportDelay is how long spent tokens may stay unreported. It is shorter for a
-	// small burst, where a few unreported tokens are a large part of it.
-	reportDelay      = time.Second
-	smallReportDelay = 100 * time.Millisecond
-	smallBurst       = 64
+	// reportDelay is how long spent tokens may stay unreported.
+	reportDelay = time.Second
+	// smallBurst is the burst up to which tokens are reported as soon as they are spent
+	// and none are fetched ahead: a few unreported tokens are a large part of it.
+	smallBurst = 64
 	// tick is how often returns and reports are looked for.
 	tick = 50 * time.Millisecond
 	// shortWait is the shortage that a request waits out instead of being refused.
@@ -44,6 +44,12 @@
 	Burst int64
 }
 
+// prompt reports whether spent tokens must be reported at once, because those of
+// reportDelay would be a large part of the burst.
+func (l Limits) prompt() bool {
+	return l.Burst <= smallBurst || float64(l.Burst) < 2*l.Rate*reportDelay.Seconds()
+}
+
 // Limiter admits requests at one entry host with tokens from the accounts' owners. Its
 // methods are safe for concurrent use.
 type Limiter struct {
@@ -70,7 +76,7 @@
 	account := l.accountLocked(id)
 	account.demand(now)
 	if len(account.waiters) == 0 && account.spend(now) {
-		if left := account.lots.count(now); left < account.demand(now)/4 {
+		if left := account.lots.count(now); limits.prompt() || left < account.demand(now)/4 {
 			l.askLocked(account, limits)
 		}
 		decision := account.decision(limits, now)
@@ -157,13 +163,13 @@
 func (l *Limiter) pause(account *local) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if account.last.Granted > 0 || account.last.RetryAfter == 0 {
+	if len(account.waiters) == 0 || account.last.Granted > 0 || account.last.RetryAfter == 0 {
 		return 0
 	}
 	return min(account.last.RetryAfter, askAgain)
 }
 
-// ask sends one request and settles its answer. It reports whether waiters are left.
+// ask sends one request and settles its answer. It reports whether to ask again.
 func (l *Limiter) ask(account *local, limits Limits) bool {
 	l.mu.Lock()
 	req := account.request(l.origin(), l.nextSeq(account), limits, time.Now())
@@ -186,7 +192,7 @@
 		return false
 	}
 	account.settle(result, time.Now())
-	account.asking = len(account.waiters) > 0
+	account.asking = len(account.waiters) > 0 || limits.prompt() && len(account.spends) > 0
 	return account.asking
 }
 
@@ -223,7 +229,7 @@
 	for id, account := range l.accounts {
 		account.returned += account.lots.expire(now, unusedFor)
 		known, ok := limits(id)
-		if account.due(now, known.Burst) && ok {
+		if ok && account.due(now, known) {
 			l.askLocked(account, known)
 			continue
 		}
--- a/internal/account/local.go
+++ b/internal/account/local.go
@@ -106,7 +106,10 @@
 		w.asked = true
 		req.Need++
 	}
-	req.Want = req.Need + max(0, l.demand(now)-l.lots.count(now))
+	req.Want = req.Need
+	if !limits.prompt() {
+		req.Want += max(0, l.demand(now)-l.lots.count(now))
+	}
 	for _, s := range l.spends {
 		req.Spent += s.tokens
 		req.Spends = append(req.Spends, Spend{Tokens: s.tokens, Age: now.Sub(s.at)})
@@ -180,16 +183,12 @@
 }
 
 // due reports whether the owner should hear of returned or spent tokens.
-func (l *local) due(now time.Time, burst int64) bool {
+func (l *local) due(now time.Time, limits Limits) bool {
 	if l.asking || now.Before(l.retryAt) {
 		return false
 	}
 	if l.pending != nil || l.returned > 0 {
 		return true
 	}
-	delay := reportDelay
-	if burst <= smallBurst {
-		delay = smallReportDelay
-	}
-	return len(l.spends) > 0 && now.Sub(l.spends[0].first) >= delay
+	return len(l.spends) > 0 && (limits.prompt() || now.Sub(l.spends[0].first) >= reportDelay)
 }
