--- a/internal/entry/app_call.go
+++ b/internal/entry/app_call.go
@@ -36,6 +36,7 @@
 
 // execute runs the call to its end and answers the caller.
 func (c *appCall) execute() {
+	defer c.undoPanicked()
 	err := c.answer()
 	if err == nil {
 		return
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -144,7 +144,7 @@
 	go func() {
 		defer s.carried.Done()
 		defer close(done)
-		defer s.recoverCarried(session)
+		defer s.recoverCarried(session, reply)
 		run()
 	}()
 	select {
@@ -169,9 +169,10 @@
 	}
 }
 
-// recoverCarried logs a panic of a call that runs apart from its handler.
-func (s *Server) recoverCarried(session *session) {
+// recoverCarried answers after a panic of a call that runs apart from its handler.
+func (s *Server) recoverCarried(session *session, reply *reply) {
 	if fault := recover(); fault != nil {
 		s.options.Logger.Log(event.HandlerPanicked, event.Fields{"call": session.call, "fault": fault})
+		reply.fail(withRun(newProblem(http.StatusInternalServerError, "internal", "the host failed"), structs.RunUnknown))
 	}
 }
--- a/internal/entry/chat_call.go
+++ b/internal/entry/chat_call.go
@@ -53,14 +53,6 @@
 	c.reply.fail(problem)
 }
 
-// undoPanicked undoes what a panic left open and lets the panic go on.
-func (c *chatCall) undoPanicked() {
-	if fault := recover(); fault != nil {
-		c.undo()
-		panic(fault)
-	}
-}
-
 // answer begins the call and sends it to replicas until one answers.
 func (c *chatCall) answer() (*upstream.Answer, structs.ReplicaID, error) {
 	if problem := c.begin(); problem != nil {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -122,6 +122,8 @@
 func (s *Server) refuse(w http.ResponseWriter, problem *structs.Problem) {
 	s.metrics.refused(problem.Code)
 	body := encodeProblem(problem)
+	// The time for an answer began with the request's head and may be over by now.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.options.Limits.Write))
 	header := w.Header()
 	problemHeader(header, problem)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -229,3 +229,11 @@
 	case <-timer.C:
 	}
 }
+
+// undoPanicked undoes what a panic left open and lets the panic go on.
+func (s *session) undoPanicked() {
+	if fault := recover(); fault != nil {
+		s.undo()
+		panic(fault)
+	}
+}
