--- a/internal/bench/policies.go
+++ b/internal/bench/policies.go
@@ -9,7 +9,8 @@
 )
 
 // policySpec is a policy named on the command line, as NAME or NAME@LIMIT where
-// LIMIT is the most calls in flight at a replica.
+// LIMIT is the most calls in flight at a replica. The policy in use takes settings
+// as well: cowslip:hold=0:ageing=100.
 type policySpec struct {
 	name string
 	// make returns a new policy; a new dispatcher starts with one.
@@ -29,7 +30,8 @@
 
 // parsePolicy returns the policy of a name.
 func parsePolicy(text string) (policySpec, error) {
-	name, limitText, hasLimit := strings.Cut(text, "@")
+	head, options, hasOptions := strings.Cut(text, ":")
+	name, limitText, hasLimit := strings.Cut(head, "@")
 	settings := sched.DefaultSettings()
 	limit := baselineLimit
 	if hasLimit {
@@ -40,6 +42,14 @@
 		limit = value
 		settings.MaxInFlight = value
 	}
+	if hasOptions {
+		if name != "cowslip" && name != "fixed-share" {
+			return policySpec{}, fmt.Errorf("policy %q: only cowslip and fixed-share take settings", text)
+		}
+		if err := applySettings(&settings, options); err != nil {
+			return policySpec{}, fmt.Errorf("policy %q: %w", text, err)
+		}
+	}
 	spec := policySpec{name: text}
 	switch name {
 	case "cowslip":
