--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -26,8 +26,10 @@
 	listeners map[string]*memoryListener
 	cut       map[link]bool
 	delay     map[link]time.Duration
-	conns     map[*memoryConn]struct{}
-	nextPort  int
+	// usual is the one-way delay of links without one of their own.
+	usual    time.Duration
+	conns    map[*memoryConn]struct{}
+	nextPort int
 }
 
 // link is an ordered pair of IP addresses.
@@ -85,6 +87,13 @@
 	m.delay[link{from, to}] = delay
 }
 
+// SetUsualDelay sets the one-way delay of all links without one of their own.
+func (m *Memory) SetUsualDelay(delay time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usual = delay
+}
+
 // Kill closes every listener and connection of an IP address, as when its process
 // dies.
 func (m *Memory) Kill(ip string) {
@@ -119,7 +128,10 @@
 func (m *Memory) delayOf(from, to string) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.delay[link{from, to}]
+	if delay, ok := m.delay[link{from, to}]; ok {
+		return delay
+	}
+	return m.usual
 }
 
 func (m *Memory) connsBetweenLocked(a, b string) []*memoryConn {
