--- a/internal/standin/app/faults.go
+++ b/internal/standin/app/faults.go
@@ -13,6 +13,8 @@
 	FailStatus int `json:"fail_status"`
 	// FailAfterRun makes a failing request run before it gets FailStatus.
 	FailAfterRun bool `json:"fail_after_run"`
+	// ForeignCall answers under another X-Call-Id, as when answers are mixed up.
+	ForeignCall bool `json:"foreign_call"`
 	// Times is for how many of the next requests the faults apply; 0 means until they
 	// are changed.
 	Times int `json:"times"`
--- a/internal/standin/app/service.go
+++ b/internal/standin/app/service.go
@@ -124,6 +124,7 @@
 	s.count(1)
 	defer s.count(-1)
 	faults := s.takeFaults()
+	standin.EchoCall(w, r, faults.ForeignCall)
 	if faults.HangBeforeRun {
 		s.hang(r)
 	}
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -63,7 +63,7 @@
 	}
 	c.touch(chain)
 	for c.used > c.limit {
-		c.drop(c.order.Back(), "evicted", 0)
+		c.drop(c.order.Back(), 0)
 	}
 }
 
@@ -82,15 +82,15 @@
 	}
 }
 
-// drop removes an entry.
-func (c *cache) drop(element *list.Element, kind string, program uint64) {
+// drop removes an entry; program is the one whose release causes that, 0 for none.
+func (c *cache) drop(element *list.Element, program uint64) {
 	entry := c.order.Remove(element).(*cached)
 	delete(c.entries, entry.hash)
 	c.used -= entry.tokens
 	for holder := range entry.programs {
 		c.letGo(holder)
 	}
-	c.events.add(kind, program, entry.link)
+	c.events.add("evicted", program, entry.link)
 }
 
 func (c *cache) letGo(program uint64) {
@@ -109,7 +109,7 @@
 		entry := element.Value.(*cached)
 		if _, holds := entry.programs[program]; holds {
 			if len(entry.programs) == 1 {
-				c.drop(element, "released", program)
+				c.drop(element, program)
 			} else {
 				delete(entry.programs, program)
 				c.letGo(program)
--- a/internal/standin/engine/cache_events.go
+++ b/internal/standin/engine/cache_events.go
@@ -15,11 +15,11 @@
 	maxEvents = 1024
 )
 
-// CacheEvent says that an entry of the cache was stored, evicted or released. A
-// number that is missing between two events was lost.
+// CacheEvent says that an entry of the cache was stored or evicted. A number that
+// is missing between two events was lost.
 type CacheEvent struct {
 	Number uint64 `json:"number"`
-	// Kind is "stored", "evicted" or "released".
+	// Kind is "stored" or "evicted".
 	Kind string `json:"kind"`
 	// Program is the program whose call or release caused the event; 0 for none.
 	Program uint64    `json:"program"`
--- a/internal/standin/engine/chat.go
+++ b/internal/standin/engine/chat.go
@@ -27,6 +27,7 @@
 		return
 	}
 	faults := e.takeFaults()
+	standin.EchoCall(w, r, faults.ForeignCall)
 	if faults.FailStatus != 0 {
 		standin.WriteError(w, faults.FailStatus, "fault", "the call was not run")
 		return
--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -8,7 +8,8 @@
 //
 //   - X-Program is the decimal number of the program whose cache the call uses; 0
 //     or absent for none.
-//   - X-Call-Id names the call for cancel orders and for resuming.
+//   - X-Call-Id names the call for cancel orders and for resuming. The answer
+//     repeats it.
 //   - X-Fence is the fencing number of the call. An engine that checks it refuses
 //     a number lower than one it saw for the same program with 409, code
 //     "stale_fence", and does not run the call.
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -15,6 +15,8 @@
 	SlowFactor float64 `json:"slow_factor"`
 	// FailStatus refuses a call with that status without running it; 0 for none.
 	FailStatus int `json:"fail_status"`
+	// ForeignCall answers under another X-Call-Id, as when answers are mixed up.
+	ForeignCall bool `json:"foreign_call"`
 	// Times is for how many of the next calls the faults apply; 0 means until they are
 	// changed.
 	Times int `json:"times"`
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -101,7 +101,7 @@
 		e.role = order.Role
 		return "done"
 	}
-	return e.loadModelLocked(order.Model)
+	return e.loadModelLocked(order.modelName())
 }
 
 // programSubject is what the fencing numbers of a program's calls and orders are
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -26,3 +26,19 @@
 func Drop() {
 	panic(http.ErrAbortHandler)
 }
+
+// headerCall is the header that names a call in both directions.
+const headerCall = "X-Call-Id"
+
+// EchoCall repeats the call's name in the answer, or names another call when
+// foreign is set.
+func EchoCall(w http.ResponseWriter, r *http.Request, foreign bool) {
+	call := r.Header.Get(headerCall)
+	if call == "" {
+		return
+	}
+	if foreign {
+		call += "-other"
+	}
+	w.Header().Set(headerCall, call)
+}
