Wire the admin address: status, lists, metrics

Cause: operators could not see the fleet or publish lists through a host. Change: the operator's view of a host; hosts ask each other for the version of the lists in force, so that a put tells on how many hosts it is.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
 
 	"cowslipgw/internal/account"
@@ -50,8 +52,10 @@
 	dispatcher *dispatch.Client
 	pools      *dispatch.Service
 
-	fresh *freshness
-	entry *entry.Server
+	fresh   *freshness
+	entry   *entry.Server
+	admin   *http.Server
+	metrics *metrics.Set
 }
 
 // listeners are the sockets of one host.
@@ -71,6 +75,7 @@
 	h.wirePartitions()
 	h.wireUpstreams()
 	h.wireEntry()
+	h.wireMetrics()
 	if err := h.register(); err != nil {
 		opened.close()
 		return nil, err
@@ -155,7 +160,7 @@
 		Lost:   h.partitionLost,
 	})
 	h.service = owner.NewService(owner.Options{
-		Proposer: h.manager, Viewer: h.member, Origin: h.origin, Rates: limitsOf(h.store),
+		Proposer: h.manager, Owned: h.manager, Viewer: h.member, Origin: h.origin, Rates: limitsOf(h.store),
 	})
 	router := owner.NewRouter(h.locator(), h.controlClient)
 	h.owners = owner.NewClient(router, h.service)
@@ -184,17 +189,18 @@
 		Control: h.controlClient, Limits: limits, Log: h.options.Logger,
 	})
 	h.sweeper = owner.NewSweeper(h.service, owner.SweeperOptions{
-		Owned: h.manager, Directory: h.directory, Orders: h.upstreams, Logger: h.options.Logger,
+		Directory: h.directory, Orders: h.upstreams, Logger: h.options.Logger,
 	})
 }
 
-// wireEntry sets up the server for callers.
+// wireEntry sets up the servers for callers and operators.
 func (h *Host) wireEntry() {
 	h.entry = entry.New(entry.Options{
 		Programs: h.owners, Claims: h.owners, Rates: rates{h.limiter}, Lists: h.store,
 		Freshness: h.fresh, Hosts: h.member, Dispatcher: h.dispatcher, Upstream: h.upstreams,
 		Logger: h.options.Logger, Tracer: h.options.Tracer, Limits: h.options.Settings.Limits,
 	})
+	h.admin = entry.NewAdmin(operator{h}).Server()
 }
 
 // register adds the services that other hosts call.
@@ -206,6 +212,9 @@
 	if err := h.controlServer.Register(partition.ServiceName, partition.NewService(h.manager)); err != nil {
 		return err
 	}
+	if err := h.controlServer.Register(peerService, &PeerRPC{h}); err != nil {
+		return err
+	}
 	if err := owner.Register(h.controlServer, h.service, h.options.Tracer); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/host/metrics.go
@@ -0,0 +1,36 @@
+package host
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// wireMetrics sets up the gauges of this host. The entry server has its own set.
+func (h *Host) wireMetrics() {
+	h.metrics = metrics.NewSet()
+	gauge := func(name string, value func() float64) { h.metrics.NewGauge(name, value) }
+	gauge("cowslipgw_view_number", func() float64 { return float64(h.member.View().Number) })
+	gauge("cowslipgw_view_hosts", func() float64 { return float64(len(h.member.View().Hosts)) })
+	gauge("cowslipgw_lists_version", func() float64 { return float64(h.store.Current().Version) })
+	gauge("cowslipgw_lists_current", func() float64 { return toFloat(h.fresh.Current()) })
+	gauge("cowslipgw_ready", func() float64 { return toFloat(h.Ready()) })
+	gauge("cowslipgw_partitions_owned", func() float64 { return float64(len(h.manager.Owned())) })
+	gauge("cowslipgw_settlements_waiting", func() float64 { return float64(h.owners.Backlog()) })
+	gauge("cowslipgw_appends_waiting", func() float64 { return float64(h.appender.Queued()) })
+	gauge("cowslipgw_log_reachable", func() float64 {
+		for _, follower := range h.followers {
+			if !follower.Reachable() {
+				return 0
+			}
+		}
+		return 1
+	})
+	gauge("cowslipgw_programs_owned", func() float64 { return float64(h.service.Counts().Programs) })
+	gauge("cowslipgw_claims_owned", func() float64 { return float64(h.service.Counts().Claims) })
+}
+
+func toFloat(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/internal/host/ready.go
+++ b/internal/host/ready.go
@@ -2,14 +2,31 @@
 
 import "cowslipgw/internal/fleet"
 
-// Ready reports whether this host serves callers: it is in the view and not leaving,
-// knows the lists in force, and has read the host list.
+// Ready reports whether this host serves callers.
 func (h *Host) Ready() bool {
+	return len(h.unready()) == 0
+}
+
+// unready says why this host should get no callers; empty when it is ready.
+func (h *Host) unready() []string {
+	var reasons []string
 	self, ok := h.member.View().Find(h.options.Settings.ID)
-	if !ok || self.Leaving || self.Incarnation != h.member.Incarnation() {
-		return false
+	switch {
+	case !ok || self.Incarnation != h.member.Incarnation():
+		reasons = append(reasons, "the host is not in the fleet's view")
+	case self.Leaving:
+		reasons = append(reasons, "the host is leaving")
+	}
+	if !h.fresh.Current() {
+		reasons = append(reasons, "the lists may be out of date")
+	}
+	if knownLists(h.store) == nil {
+		reasons = append(reasons, "no lists are in force")
+	}
+	if !h.directory.Ready() {
+		reasons = append(reasons, "the host list was not read yet")
 	}
-	return h.fresh.Current() && h.store.Current().Version > 0 && h.directory.Ready()
+	return reasons
 }
 
 // View returns the fleet as this host sees it.
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -69,6 +70,12 @@
 	run(func(ctx context.Context) { h.limiter.Run(ctx, limitsOf(h.store)) })
 	run(func(ctx context.Context) { _ = h.directory.Run(ctx) })
 	group.Go(func() error { return h.entry.Serve(h.listeners.entry) })
+	group.Go(func() error {
+		if err := h.admin.Serve(h.listeners.admin); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
 }
 
 // followView tells the parts that depend on the view when it changes.
@@ -137,6 +144,7 @@
 func (h *Host) closeAll() {
 	h.listeners.close()
 	h.entry.Close()
+	_ = h.admin.Close()
 	h.controlServer.Close()
 	h.controlClient.Close()
 	h.pools.Close()
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -15,6 +15,7 @@
 // Options set up a Service.
 type Options struct {
 	Proposer partition.Proposer
+	Owned    OwnedPartitions
 	Viewer   fleet.Viewer
 	// Origin names this host with its present incarnation.
 	Origin func() structs.Origin
@@ -26,6 +27,7 @@
 // safe for concurrent use.
 type Service struct {
 	proposer partition.Proposer
+	owned    OwnedPartitions
 	viewer   fleet.Viewer
 	origin   func() structs.Origin
 	rates    func(structs.AccountID) (account.Limits, bool)
@@ -40,6 +42,7 @@
 func NewService(options Options) *Service {
 	return &Service{
 		proposer: options.Proposer,
+		owned:    options.Owned,
 		viewer:   options.Viewer,
 		origin:   options.Origin,
 		rates:    options.Rates,
--- a/internal/owner/sweeper.go
+++ b/internal/owner/sweeper.go
@@ -43,7 +43,6 @@
 
 // SweeperOptions set up a Sweeper.
 type SweeperOptions struct {
-	Owned     OwnedPartitions
 	Directory Replicas
 	Orders    Orders
 	Logger    *event.Logger
@@ -115,7 +114,7 @@
 	var found findings
 	reported := s.reportedPrograms()
 	clock := s.service.clock()
-	s.options.Owned.Visit(func(id partition.ID, machine partition.Machine) {
+	s.service.owned.Visit(func(id partition.ID, machine partition.Machine) {
 		state := program.FromMachine(machine)
 		found.releases = append(found.releases, s.orphans(id, state, reported[id])...)
 		if state.Empty() {
