--- a/internal/entry/chat_call.go
+++ b/internal/entry/chat_call.go
@@ -243,7 +243,7 @@
 			return nil, err
 		}
 		if c.firstToken == 0 {
-			c.firstToken = time.Since(c.started)
+			c.firstToken = max(time.Since(c.started), 1)
 			c.server.metrics.firstToken(c.firstToken)
 		}
 		if next.UsageOnly && !c.request.includeUsage {
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -196,6 +196,7 @@
 	status int
 	header http.Header
 	body   string
+	close  bool
 	err    error
 }
 
@@ -229,7 +230,7 @@
 	}
 	defer response.Body.Close()
 	read, err := io.ReadAll(response.Body)
-	return result{status: response.StatusCode, header: response.Header, body: string(read), err: err}
+	return result{status: response.StatusCode, header: response.Header, body: string(read), close: response.Close, err: err}
 }
 
 // chat sends a chat completion.
