--- /dev/null
+++ b/internal/host/at_most_once_test.go
@@ -0,0 +1,149 @@
+package host_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cowslipgw/internal/standin/app"
+	"cowslipgw/internal/structs"
+)
+
+// TestAtMostOnce guards against a non-idempotent request that runs twice, and against
+// answers that say the wrong thing about it, while hosts, the log and upstreams fail.
+func TestAtMostOnce(t *testing.T) {
+	config := siteConfig{app: app.Settings{Work: 400 * time.Millisecond}}
+	faults := append(append(append([]fault(nil), hostFaults...), logFaults...), appFaults...)
+	runChaos(t, config, pairs(faults...), func(c *chaos, faults []fault) {
+		c.owner, c.entry = 1, 2
+		keys := c.claimKeys(10)
+		for i, key := range keys {
+			c.work.Go(func() {
+				time.Sleep(time.Duration(i) * 250 * time.Millisecond)
+				c.pickUntilFinal(key, i%2 == 0)
+			})
+		}
+		time.Sleep(time.Second)
+		c.inject(faults, 8*time.Second)
+		c.work.Wait()
+		c.checkFinal(keys)
+		c.checkClaims(keys)
+	})
+}
+
+// claimKeys returns idempotency keys whose claims the scenario's owner has.
+func (c *chaos) claimKeys(n int) []string {
+	var keys []string
+	for i := 0; len(keys) < n; i++ {
+		key := fmt.Sprintf("pickup-%d", i)
+		if c.host(c.owner).OwnerOfClaim("clinic", key) == hostID(c.owner) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// pickUntilFinal sends a request and retries it at other hosts until its outcome is
+// known. twice sends it to a second host while the first still works on it.
+func (c *chaos) pickUntilFinal(key string, twice bool) {
+	request := c.pickup("clinic", key, "packs for "+key)
+	if twice {
+		c.work.Go(func() {
+			time.Sleep(100 * time.Millisecond)
+			c.try((c.entry+1)%c.config.hosts, key, request)
+		})
+	}
+	for i := range 40 {
+		if got := c.try((c.entry+i)%c.config.hosts, key, request); final(got.answer) {
+			return
+		}
+		if i > 0 {
+			time.Sleep(3 * time.Second)
+		}
+	}
+	c.t.Errorf("%s has no final answer after 40 attempts: %s", key, c.describe(key))
+}
+
+// final says whether a retry can get another answer.
+func final(a answer) bool {
+	return a.err == nil && (a.status == 200 || a.run() == structs.RunUnknown && a.code() != "request-running")
+}
+
+// checkFinal asks every host for every key: all must give the same bytes.
+func (c *chaos) checkFinal(keys []string) {
+	for _, key := range keys {
+		var first attempt
+		for i := range c.config.hosts {
+			got := c.try(i, key, c.pickup("clinic", key, "packs for "+key))
+			if !final(got.answer) {
+				c.t.Errorf("%s at host %d: %s", key, i, c.describe(key))
+				return
+			}
+			if i == 0 {
+				first = got
+			}
+			if got.status != first.status || got.body != first.body {
+				c.t.Errorf("%s differs at host %d: %s", key, i, c.describe(key))
+			}
+		}
+	}
+}
+
+// checkClaims compares all answers with what the app services really ran.
+func (c *chaos) checkClaims(keys []string) {
+	reached := c.reached()
+	for _, key := range keys {
+		runs := c.runs(key)
+		if runs > 1 {
+			c.t.Errorf("%s ran %d times: %s", key, runs, c.describe(key))
+		}
+		var unknownAt time.Time
+		body := ""
+		for _, a := range c.made(key) {
+			call := a.header.Get("X-Request-Id")
+			replayed := a.header.Get("Idempotency-Replayed") != ""
+			wrong := ""
+			switch {
+			case a.err != nil:
+			case a.run() == structs.RunNo && call != "" && reached[call]:
+				wrong = "run:no, but the request reached an app"
+			case a.run() == structs.RunYes && runs == 0, a.status == 200 && runs == 0:
+				wrong = "the answer says that it ran"
+			case a.status == 200 && !replayed && !unknownAt.IsZero() && a.sent.After(unknownAt):
+				wrong = "ran after an unknown outcome was stated"
+			case a.status == 200 && body != "" && a.body != body:
+				wrong = "two answers differ"
+			case a.run() == structs.RunUnknown && a.code() != "request-running" && unknownAt.IsZero():
+				unknownAt = a.answered
+			}
+			if a.err == nil && a.status == 200 {
+				body = a.body
+			}
+			if wrong != "" {
+				c.t.Errorf("%s: %s: %s", key, wrong, c.describe(key))
+			}
+		}
+	}
+}
+
+// reached returns the calls that an app service received.
+func (c *chaos) reached() map[string]bool {
+	calls := make(map[string]bool)
+	for _, service := range c.apps {
+		for _, request := range service.Requests() {
+			calls[request.Header.Get("X-Call-Id")] = true
+		}
+	}
+	return calls
+}
+
+// describe lists the attempts with a key for a failure message.
+func (c *chaos) describe(key string) string {
+	text := ""
+	for _, a := range c.made(key) {
+		text += fmt.Sprintf("\n  host %d at %s..%s: %d %s run=%s call=%s replayed=%s err=%v", a.host,
+			a.sent.Format("04:05.000"), a.answered.Format("04:05.000"), a.status, a.code(), a.run(),
+			a.header.Get("X-Request-Id"), a.header.Get("Idempotency-Replayed"), a.err)
+	}
+	return text
+}
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -275,7 +275,7 @@
 // start starts the i-th host, also after a stop or kill.
 func (s *site) start(i int) *runningHost {
 	s.t.Helper()
-	ip := fmt.Sprintf("10.0.0.%d", i+1)
+	ip := hostIP(i)
 	config := settings.Default()
 	config.ID = hostID(i)
 	config.Region = s.config.region
@@ -389,4 +389,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	// Time stands still after the test's function, so that what killed hosts still try
+	// must end here.
+	time.Sleep(settings.Default().Limits.Carry + time.Minute)
 }
