--- a/internal/host/chaos_test.go
+++ b/internal/host/chaos_test.go
@@ -205,7 +205,10 @@
 	}
 )
 
-// pairs returns each fault alone and, unless the test is short, each two together.
+// moveFaults take the owner's state to another host, or try to.
+var moveFaults = []fault{hostFaults[0], hostFaults[1], hostFaults[6], hostFaults[7], hostFaults[8], hostFaults[9]}
+
+// pairs returns each fault alone and each two together.
 func pairs(faults ...fault) [][]fault {
 	var all [][]fault
 	for i, first := range faults {
--- /dev/null
+++ b/internal/host/rate_test.go
@@ -0,0 +1,121 @@
+package host_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+)
+
+// Rate and burst of account workshop in defaultPlans.
+const (
+	workshopRate  = 5.0
+	workshopBurst = 10
+)
+
+// TestRateNeverExceeded guards against an account that gets more than its rate and
+// burst over all hosts, while hosts and the log fail and it sends three times its rate.
+func TestRateNeverExceeded(t *testing.T) {
+	const load = 14 * time.Second
+	none := fault{"none", func(*chaos, bool) {}}
+	sets := append(pairs(moveFaults...), []fault{none}, logFaults[:1], logFaults[1:2], logFaults[2:])
+	runChaos(t, siteConfig{}, sets, func(c *chaos, faults []fault) {
+		c.owner = c.indexOf(c.host(0).OwnerOfRate("workshop"))
+		c.entry = (c.owner + 1) % c.config.hosts
+		stop := time.Now().Add(load)
+		for i := range c.config.hosts {
+			c.work.Go(func() {
+				for n := 0; time.Now().Before(stop); n++ {
+					c.work.Go(func() { c.try(i, "", c.unclaimed("workshop", fmt.Sprintf("%d/%d", i, n))) })
+					time.Sleep(400 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		c.inject(faults, 6*time.Second)
+		c.work.Wait()
+		c.checkRate(workshopRate, workshopBurst)
+		expected := workshopBurst
+		if faults[0].name == none.name {
+			// The last requests are sent 400 ms before the end; one token may come after them.
+			expected = workshopBurst + int((load-400*time.Millisecond).Seconds()*workshopRate) - 1
+		}
+		if admitted := len(c.admitted()); admitted < expected {
+			c.t.Errorf("%d requests were admitted in %s, at least %d are expected", admitted, load, expected)
+		}
+	})
+}
+
+// unclaimed returns a call of a non-idempotent route without an idempotency key.
+func (s *site) unclaimed(account, body string) call {
+	return call{method: "POST", path: "/apps/" + s.config.appPool + "/pickups", key: s.key(account), body: body}
+}
+
+// admitted returns the attempts that got past the rate limit, in the order in which
+// they were answered.
+func (c *chaos) admitted() []attempt {
+	reached := c.reached()
+	var found []attempt
+	for _, a := range c.made("") {
+		if a.err == nil && reached[a.header.Get("X-Request-Id")] {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// checkRate recounts the admissions in every window. A request was admitted between its
+// sending and its answer, so that a window holds those which lie in it whole.
+func (c *chaos) checkRate(rate float64, burst int) {
+	byEnd := c.admitted()
+	sort.Slice(byEnd, func(i, j int) bool { return byEnd[i].answered.Before(byEnd[j].answered) })
+	for _, first := range byEnd {
+		count := 0
+		for _, a := range byEnd {
+			if a.sent.Before(first.sent) {
+				continue
+			}
+			count++
+			window := a.answered.Sub(first.sent)
+			if allowed := float64(burst) + rate*window.Seconds(); float64(count) > allowed {
+				c.t.Errorf("%d admissions in the %s from %s, allowed are %.1f", count, window, first.sent.Format("04:05.000"), allowed)
+				return
+			}
+		}
+	}
+}
+
+// TestNothingWithinRateIsRefused guards against wrong refusals: without faults, requests
+// that a token bucket over all hosts admits are never refused, however they are spread.
+func TestNothingWithinRateIsRefused(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			runSite(t, siteConfig{}, func(s *site) {
+				c := &chaos{site: s}
+				random := rand.New(rand.NewPCG(seed, 1))
+				level, last, end := float64(workshopBurst), time.Now(), time.Now().Add(40*time.Second)
+				for n := 0; time.Now().Before(end); {
+					time.Sleep(time.Duration(random.ExpFloat64() * float64(2*time.Second)))
+					now := time.Now()
+					level = min(workshopBurst, level+workshopRate*now.Sub(last).Seconds())
+					last = now
+					for range random.IntN(int(level) + 1) {
+						n++
+						level--
+						host := random.IntN(1 + 2*int(seed)%c.config.hosts)
+						c.work.Go(func() { c.try(host, "", c.unclaimed("workshop", fmt.Sprint(n))) })
+					}
+				}
+				c.work.Wait()
+				for _, a := range c.made("") {
+					if a.status != 200 {
+						t.Errorf("host %d at %s: %d %s", a.host, a.sent.Format("04:05.000"), a.status, a.body)
+					}
+				}
+				c.checkRate(workshopRate, workshopBurst)
+			})
+		})
+	}
+}
