host: end the requests of withdrawn keys

Cause: entry.Server.Run, which ends open streams and running calls of withdrawn keys, was never started by the host. TestWithdrawnKeyStops failed in 46 of 46 cases: streams went on until their callers left, 37 s after the withdrawal. Ruled out: the fold and the freshness rule; new requests were refused in time. Change: the host runs it.

--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -69,6 +69,7 @@
 	run(h.followView)
 	run(func(ctx context.Context) { h.limiter.Run(ctx, limitsOf(h.store)) })
 	run(func(ctx context.Context) { _ = h.directory.Run(ctx) })
+	run(func(ctx context.Context) { _ = h.entry.Run(ctx) })
 	group.Go(func() error { return h.entry.Serve(h.listeners.entry) })
 	group.Go(func() error {
 		if err := h.admin.Serve(h.listeners.admin); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -119,7 +119,8 @@
 	}
 }
 
-func (m *Memory) isCut(from, to string) bool {
+// IsCut reports whether traffic from one IP address to another is dropped.
+func (m *Memory) IsCut(from, to string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.cut[link{from, to}]
@@ -169,7 +170,7 @@
 
 func (m *Memory) dial(ctx context.Context, ip, address string) (net.Conn, error) {
 	target := hostOf(address)
-	for m.isCut(ip, target) || m.isCut(target, ip) {
+	for m.IsCut(ip, target) || m.IsCut(target, ip) {
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/transport/memory_conn.go
+++ b/internal/transport/memory_conn.go
@@ -189,7 +189,7 @@
 		if expired(p.readEnd) {
 			return 0, os.ErrDeadlineExceeded
 		}
-		cut := p.net.isCut(p.from, p.to)
+		cut := p.net.IsCut(p.from, p.to)
 		wakeAt := p.readEnd
 		if !cut && len(p.chunks) > 0 {
 			if ready := p.chunks[0].ready; time.Now().Before(ready) {
