entry: end requests under keys at a host that is not current

Cause: a host that is cut from the log and from all peers refused new requests after 8 s, but a stream that was open went on until the cut ended, so that a withdrawn key worked there for as long. Change: Server.Run ends the requests of all keys while the host is not current. A claimed call is carried on and settled as before; its caller hears run:unknown.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -158,7 +158,7 @@
 // leave answers a caller whose claimed call goes on without it.
 func (s *Server) leave(session *session, reply *reply, done <-chan struct{}) {
 	cause := context.Cause(session.waiting)
-	if !errors.Is(cause, errKeyWithdrawn) {
+	if !errors.Is(cause, errKeyWithdrawn) && !errors.Is(cause, errNotCurrent) {
 		return
 	}
 	select {
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -63,6 +63,8 @@
 	switch {
 	case errors.Is(err, errKeyWithdrawn):
 		return "key-withdrawn", "the key was withdrawn", http.StatusUnauthorized
+	case errors.Is(err, errNotCurrent):
+		return "not-current", "this host does not know whether its lists are current; use another entry host", http.StatusServiceUnavailable
 	case errors.Is(err, upstream.ErrNotSent):
 		return "upstream-unreachable", "no replica could be reached", http.StatusServiceUnavailable
 	case errors.Is(err, upstream.ErrTimeout):
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -4,12 +4,20 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/lists"
 	"cowslipgw/internal/structs"
 )
 
+// notCurrentCheck is how often Run looks whether the host is current.
+const notCurrentCheck = 250 * time.Millisecond
+
+// errNotCurrent is the cause that ends a caller's context when the host no longer knows
+// whether the caller's key is withdrawn.
+var errNotCurrent = errors.New("the host does not know whether its lists are current")
+
 // errKeyWithdrawn is the cause that ends a caller's context when its key is
 // withdrawn.
 var errKeyWithdrawn = errors.New("the key was withdrawn")
@@ -62,17 +70,36 @@
 	return ended
 }
 
-// Run ends the requests of withdrawn keys until ctx ends.
+// endAll ends all requests under a key and returns how many.
+func (r *registry) endAll(cause error) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, entry := range r.open {
+		entry.cancel(cause)
+	}
+	return len(r.open)
+}
+
+// Run ends the requests of withdrawn keys until ctx ends. On a host that is not current
+// it ends those of all keys, since any of them may be withdrawn.
 func (s *Server) Run(ctx context.Context) error {
+	ticker := time.NewTicker(notCurrentCheck)
+	defer ticker.Stop()
 	for {
 		changed := s.options.Lists.Changed()
 		if ended := s.registry.withdraw(s.options.Lists.Current()); ended > 0 {
 			s.options.Logger.Log(event.KeyWithdrawnInUse, event.Fields{"requests": ended})
 		}
+		if !s.options.Freshness.Current() {
+			if ended := s.registry.endAll(errNotCurrent); ended > 0 {
+				s.options.Logger.Log(event.EndedNotCurrent, event.Fields{"requests": ended})
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+		case <-ticker.C:
 		}
 	}
 }
