--- a/internal/account/buckets.go
+++ b/internal/account/buckets.go
@@ -59,10 +59,10 @@
 		op.TookOver = true
 	}
 	work.refill(clock.Mono, work.held())
-	work.limit(req.Rate, req.Burst, work.held())
 	op.Gone = work.dropGone(inView, clock)
 	holds := work.hosts[req.Origin]
 	holds = work.report(holds, req, clock)
+	work.limit(req.Rate, req.Burst, work.held())
 	granted := work.grant(req)
 	work.Level -= float64(granted)
 	op.Bucket = work.bucket
--- a/internal/account/limiter.go
+++ b/internal/account/limiter.go
@@ -71,6 +71,9 @@
 // refuses it, or until ctx ends. ErrUnavailable: the owner did not answer; nothing was
 // admitted.
 func (l *Limiter) Take(ctx context.Context, id structs.AccountID, limits Limits) (Decision, error) {
+	if limits.Rate <= 0 || limits.Burst <= 0 {
+		return Decision{}, nil
+	}
 	l.mu.Lock()
 	now := time.Now()
 	account := l.accountLocked(id)
--- a/internal/account/limiter_test.go
+++ b/internal/account/limiter_test.go
@@ -55,7 +55,7 @@
 			if faults {
 				disturb(f, nodes, random)
 			}
-			time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+			time.Sleep(pause(random, rate, burst))
 		}
 		takes.Wait()
 		cancel()
@@ -65,6 +65,15 @@
 	return f, record
 }
 
+// pause is the time to the next requests: now and then enough to fill the bucket.
+func pause(random *rand.Rand, rate float64, burst int64) time.Duration {
+	seconds := random.ExpFloat64() / rate
+	if random.IntN(15) == 0 {
+		seconds = min(5, random.Float64()*2*float64(burst)/rate)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // disturb lets owners fail and hosts be evicted. An evicted host goes on with what it
 // holds and joins again now and then.
 func disturb(f *fleet, nodes []*node, random *rand.Rand) {
--- a/internal/account/simulation_test.go
+++ b/internal/account/simulation_test.go
@@ -45,7 +45,7 @@
 func (f *fleet) delay() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.faults && f.random.IntN(50) == 0 {
+	if f.faults && f.random.IntN(15) == 0 {
 		return time.Duration(f.random.IntN(3000)) * time.Millisecond
 	}
 	return time.Millisecond + time.Duration(f.random.IntN(1000))*time.Microsecond
--- a/internal/program/snapshot.go
+++ b/internal/program/snapshot.go
@@ -81,6 +81,9 @@
 	fresh.lossyUntil = snap.LossyUntil
 	fresh.lossyAt = snap.LossyAt
 	for _, entry := range snap.Roots {
+		if entry.State == nil {
+			return fmt.Errorf("empty root in the snapshot: %w", ErrMalformedOp)
+		}
 		entry.State.programs = make(map[structs.ProgramID]*state)
 		fresh.roots[rootKey{entry.Account, entry.Root}] = entry.State
 	}
@@ -93,6 +96,9 @@
 		fresh.numbers[entry.State.Number] = entry.Key
 	}
 	for _, entry := range snap.Claims {
+		if entry.State == nil {
+			return fmt.Errorf("empty claim in the snapshot: %w", ErrMalformedOp)
+		}
 		fresh.claims[entry.Key] = entry.State
 		fresh.answerBytes += entry.State.Answer.size()
 	}
@@ -102,6 +108,9 @@
 		}
 	}
 	for _, entry := range snap.Buckets {
+		if entry == nil {
+			return fmt.Errorf("empty bucket in the snapshot: %w", ErrMalformedOp)
+		}
 		fresh.buckets.Restore(entry)
 	}
 	*s = *fresh
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -196,3 +196,8 @@
 	}
 	return s
 }
+
+// ID returns the partition.
+func (s *State) ID() partition.ID {
+	return s.id
+}
