cmd: key new, lists get, put and history, checkLists

Cause: operators edit the two lists and make keys from a command line. Change: commands against the admin HTTP API; put validates locally, sends the base version that get stored, and exits with 1 on every refusal.

--- /dev/null
+++ b/cmd/cowslipgw/lists_dir.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"cowslipgw/internal/structs"
+)
+
+// The files of a directory that lists get writes.
+const (
+	accountsName = "accounts.ini"
+	plansName    = "plans.ini"
+	baseName     = "base-version"
+)
+
+// listsDir is a directory with the lists that an operator edits.
+type listsDir string
+
+func (d listsDir) accounts() string { return filepath.Join(string(d), accountsName) }
+func (d listsDir) plans() string    { return filepath.Join(string(d), plansName) }
+func (d listsDir) base() string     { return filepath.Join(string(d), baseName) }
+
+// write stores lists and their version. The version is written last: with an older one
+// a put is refused, which loses nothing.
+func (d listsDir) write(current adminLists) error {
+	if err := os.MkdirAll(string(d), 0o700); err != nil {
+		return err
+	}
+	if err := writeFile(d.accounts(), current.Accounts); err != nil {
+		return err
+	}
+	if err := writeFile(d.plans(), current.Plans); err != nil {
+		return err
+	}
+	return d.writeBase(current.Version)
+}
+
+// writeBase stores the version that the next put is edited from.
+func (d listsDir) writeBase(version structs.Offset) error {
+	return writeFile(d.base(), fmt.Sprintf("%d\n", version))
+}
+
+// read loads the edited lists and the version that they were edited from.
+func (d listsDir) read() (adminPut, error) {
+	var edit adminPut
+	base, err := os.ReadFile(d.base())
+	if err != nil {
+		return edit, fmt.Errorf("%w; run lists get first", err)
+	}
+	version, err := strconv.ParseUint(strings.TrimSpace(string(base)), 10, 64)
+	if err != nil {
+		return edit, fmt.Errorf("%s does not hold a version number; run lists get again", d.base())
+	}
+	accounts, err := os.ReadFile(d.accounts())
+	if err != nil {
+		return edit, err
+	}
+	plans, err := os.ReadFile(d.plans())
+	if err != nil {
+		return edit, err
+	}
+	edit.Base = structs.Offset(version)
+	edit.Accounts, edit.Plans = string(accounts), string(plans)
+	return edit, nil
+}
+
+// report prints the outcome of a put and returns the exit status.
+func (d listsDir) report(answer adminAnswer, edit adminPut, stdout, stderr io.Writer) int {
+	switch answer.status {
+	case http.StatusOK:
+		fmt.Fprintf(stdout, "version %d is in force on %d of %d hosts\n", answer.Version, answer.HostsInForce, answer.Hosts)
+		if err := d.writeBase(answer.Version); err != nil {
+			fmt.Fprintf(stderr, "cowslipgw: %v; run lists get before the next edit\n", err)
+			return exitFault
+		}
+		return exitOK
+	case http.StatusConflict:
+		fmt.Fprintf(stderr, "cowslipgw: refused: the lists were edited from version %d, and version %d by %s is in force\n",
+			edit.Base, answer.Version, answer.By)
+		for _, line := range answer.Changes {
+			fmt.Fprintf(stderr, "    %s\n", line)
+		}
+		fmt.Fprintln(stderr, "cowslipgw: run lists get into another directory and repeat the edit there")
+	case http.StatusUnprocessableEntity:
+		printFaults(answer.Faults, d.accounts(), d.plans(), stderr)
+		fmt.Fprintln(stderr, "cowslipgw: refused: the lists have faults; nothing was changed")
+	case http.StatusGatewayTimeout:
+		fmt.Fprintln(stderr, "cowslipgw: the outcome is not known: the log service did not confirm the change in time")
+		fmt.Fprintln(stderr, "cowslipgw: it may still come into force; see lists history before another put")
+	}
+	return exitFault
+}
--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -26,7 +26,10 @@
 
 // commands lists the subcommands in the order of the usage text.
 func commands() []command {
-	return []command{}
+	return []command{
+		{"lists", "get, put or show the history of the operators' lists", runLists},
+		{"key", "make a key for a caller", runKey},
+	}
 }
 
 func main() {
