--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -29,9 +29,12 @@
 	return []command{
 		serveCommand(),
 		devCommand(),
-		{name: "check", summary: "report the faults of a settings file", run: check},
-		{name: "standin", summary: "run stand-ins for the outside systems", run: runStandin},
+		{name: "check", summary: "report the faults of a settings file or of the two lists", run: check},
+		{name: "lists", summary: "get, put or show the history of the operators' lists", run: runLists},
+		{name: "key", summary: "make a key for a caller", run: runKey},
+		{name: "status", summary: "show hosts, pools and client accounts", run: runStatus},
 		benchCommand(),
+		{name: "standin", summary: "run stand-ins for the outside systems", run: runStandin},
 	}
 }
 
