--- a/cmd/cowslipgw/check.go
+++ b/cmd/cowslipgw/check.go
@@ -5,31 +5,30 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 
 	"cowslipgw/internal/settings"
 )
 
-// check reports the faults of a host's settings file.
+// check reports the faults of a host's settings file or of the operators' two lists.
 func check(_ context.Context, args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("check", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	config := flags.String("config", "", "settings `FILE` of a host")
-	if err := flags.Parse(args); err != nil {
-		return usageStatus(err)
+	lists := flags.String("lists", "", "the two lists as `ACCOUNTS,PLANS`")
+	if status, done := parseFlags(flags, args); done {
+		return status
 	}
-	if flags.NArg() > 0 || *config == "" {
-		fmt.Fprintln(stderr, "usage: cowslipgw check -config FILE")
+	accounts, plans, both := strings.Cut(*lists, ",")
+	switch {
+	case flags.NArg() == 0 && *config != "" && *lists == "":
+		return checkConfig(*config, stdout, stderr)
+	case flags.NArg() == 0 && *config == "" && both:
+		return checkLists(accounts, plans, stderr)
+	default:
+		fmt.Fprintln(stderr, "usage: cowslipgw check -config FILE | -lists ACCOUNTS,PLANS")
 		return exitUsage
 	}
-	return checkConfig(*config, stdout, stderr)
-}
-
-// usageStatus returns the exit status of a command line that cannot be used.
-func usageStatus(err error) int {
-	if err == flag.ErrHelp {
-		return exitOK
-	}
-	return exitUsage
 }
 
 // checkConfig prints the faults of a settings file, or what it sets up.
--- a/cmd/cowslipgw/lists_admin.go
+++ b/cmd/cowslipgw/lists_admin.go
@@ -40,7 +40,7 @@
 	HostsInForce int            `json:"hosts_in_force"`
 	Hosts        int            `json:"hosts"`
 	By           string         `json:"by"`
-	Changes      []string       `json:"changes"`
+	Changes      []lists.Change `json:"changes"`
 	Faults       []lists.Fault  `json:"faults"`
 }
 
--- a/cmd/cowslipgw/lists_dir.go
+++ b/cmd/cowslipgw/lists_dir.go
@@ -83,8 +83,11 @@
 	case http.StatusConflict:
 		fmt.Fprintf(stderr, "cowslipgw: refused: the lists were edited from version %d, and version %d by %s is in force\n",
 			edit.Base, answer.Version, answer.By)
-		for _, line := range answer.Changes {
-			fmt.Fprintf(stderr, "    %s\n", line)
+		for _, change := range answer.Changes {
+			fmt.Fprintf(stderr, "  version %d by %s: %s\n", change.Version, change.By, change.Message)
+			for _, line := range change.Changes {
+				fmt.Fprintf(stderr, "    %s\n", line)
+			}
 		}
 		fmt.Fprintln(stderr, "cowslipgw: run lists get into another directory and repeat the edit there")
 	case http.StatusUnprocessableEntity:
--- a/cmd/cowslipgw/lists_test.go
+++ b/cmd/cowslipgw/lists_test.go
@@ -40,7 +40,7 @@
 		w.WriteHeader(s.status)
 	case put.Base != s.current.Version:
 		w.WriteHeader(http.StatusConflict)
-		_ = json.NewEncoder(w).Encode(map[string]any{"version": s.current.Version, "by": "ana", "changes": []string{"plan p: rate changed"}})
+		_ = json.NewEncoder(w).Encode(map[string]any{"version": s.current.Version, "by": "ana", "changes": []lists.Change{{Version: s.current.Version, By: "ana", Changes: []string{"plan p: rate changed"}}}})
 	default:
 		s.current = adminLists{Version: put.Base + 1, Accounts: put.Accounts, Plans: put.Plans}
 		_ = json.NewEncoder(w).Encode(map[string]any{"version": s.current.Version, "hosts_in_force": 3, "hosts": 3})
--- a/internal/host/operator.go
+++ b/internal/host/operator.go
@@ -35,9 +35,13 @@
 	return o.host.status()
 }
 
-// Lists returns the lists in force, or nil before the first ones are known.
+// Lists returns the lists in force, which are empty at version 0 in a new deployment,
+// or nil while this host does not know them.
 func (o operator) Lists() *lists.Lists {
-	return knownLists(o.host.store)
+	if !o.host.fresh.Current() {
+		return nil
+	}
+	return o.host.store.Current()
 }
 
 // History returns the accepted changes, the oldest first.
--- a/internal/host/peer_status.go
+++ b/internal/host/peer_status.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"cowslipgw/internal/fleet"
-	"cowslipgw/internal/lists"
 	"cowslipgw/internal/structs"
 )
 
@@ -112,11 +111,3 @@
 		}
 	}
 }
-
-// knownLists returns the lists in force, or nil while they are not known.
-func knownLists(store *lists.Store) *lists.Lists {
-	if current := store.Current(); store.Complete() && current.Version > 0 {
-		return current
-	}
-	return nil
-}
--- a/internal/host/ready.go
+++ b/internal/host/ready.go
@@ -20,7 +20,7 @@
 	if !h.fresh.Current() {
 		reasons = append(reasons, "the lists may be out of date")
 	}
-	if knownLists(h.store) == nil {
+	if h.store.Current().Version == 0 {
 		reasons = append(reasons, "no lists are in force")
 	}
 	if !h.directory.Ready() {
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -142,9 +142,10 @@
 
 // closeAll closes sockets and connections.
 func (h *Host) closeAll() {
-	h.listeners.close()
+	// The servers are closed before their sockets, so that they end without an error.
 	h.entry.Close()
 	_ = h.admin.Close()
+	h.listeners.close()
 	h.controlServer.Close()
 	h.controlClient.Close()
 	h.pools.Close()
