--- a/internal/entry/app_call.go
+++ b/internal/entry/app_call.go
@@ -55,7 +55,7 @@
 	request := dispatch.Request{
 		Pool:    c.target.route.Pool,
 		Account: c.caller.account,
-		Weight:  max(c.caller.plan.Weight, 1),
+		Weight:  c.weight(),
 		Call:    c.call,
 		Origin:  c.origin,
 	}
@@ -78,6 +78,15 @@
 	}
 }
 
+// weight returns the account's share; callers without an account share the standard
+// one.
+func (c *appCall) weight() float64 {
+	if c.caller.account == "" {
+		return 1
+	}
+	return c.caller.plan.Weight
+}
+
 // mayRetry says whether another replica may be tried. What was sent is sent again
 // only on a route that the operators declared repeatable, without a claim.
 func (c *appCall) mayRetry(err error) bool {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -11,6 +11,10 @@
 	"cowslipgw/internal/structs"
 )
 
+// bodyAllocation bounds the memory in bytes that a caller's Content-Length reserves
+// before the body arrives.
+const bodyAllocation = 64 << 10
+
 // readBody reads a whole request body within the limits of length and time.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *structs.Problem) {
 	limit := s.options.Limits.Body
@@ -21,7 +25,10 @@
 	if err := deadline.SetReadDeadline(time.Now().Add(s.options.Limits.BodyRead)); err != nil {
 		return nil, newProblem(http.StatusInternalServerError, "internal", "the body cannot be read")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var read bytes.Buffer
+	read.Grow(int(min(max(r.ContentLength, 0), bodyAllocation)) + bytes.MinRead)
+	_, err := read.ReadFrom(http.MaxBytesReader(w, r.Body, limit))
+	body := read.Bytes()
 	if problem := bodyProblem(err, limit); problem != nil {
 		return nil, problem
 	}
--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -270,6 +272,41 @@
 	}
 }
 
+// TestSlowCaller guards against a caller that accepts events slowly being taken for an
+// engine that stalls.
+func TestSlowCaller(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		const words = 40
+		word := strings.Repeat("x", 16<<10)
+		f.replica(firstReplica, func(w http.ResponseWriter, _ *http.Request) {
+			for range words {
+				streamWords(w, word)
+			}
+			endStream(w)
+		})
+		f.start()
+		got := f.raw("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer "+callerKey+
+			fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n%s", len(streamBody), streamBody), func(net.Conn) { time.Sleep(20 * time.Second) })
+		is.Equal(strings.Count(got, word), words)
+		is.True(strings.Contains(got, "[DONE]"))
+	})
+}
+
+// TestTrace guards against a caller's trace that ends at the entry host.
+func TestTrace(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		var parent string
+		f.replica(firstReplica, func(w http.ResponseWriter, r *http.Request) {
+			parent = r.Header.Get("Traceparent")
+			answer(w, r)
+		})
+		f.start()
+		f.chat(callBody, "Traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01")
+		is.True(strings.HasPrefix(parent, "00-0af7651916cd43dd8448eb211c80319c-"))
+		is.True(!strings.Contains(parent, "b7ad6b7169203331"))
+	})
+}
+
 // TestWindow guards against a call that is sent long after it was begun, when the
 // owner may have let the next one run.
 func TestWindow(t *testing.T) {
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -39,7 +39,7 @@
 
 // fixture is one entry host with fakes around it.
 type fixture struct {
-	t          *testing.T
+	t          testing.TB
 	network    *transport.Memory
 	owner      *fakeOwner
 	rates      *fakeRates
@@ -93,7 +93,7 @@
 }
 
 // newFixture prepares an entry host; start runs it.
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	host := func(id, domain string, leaving bool) fleet.Host {
 		return fleet.Host{ID: structs.HostID(id), Incarnation: 4, Region: "r", Domain: structs.Domain(domain), EntryAddress: id + ":80", Leaving: leaving}
--- a/internal/upstream/chat_stream.go
+++ b/internal/upstream/chat_stream.go
@@ -29,17 +29,23 @@
 	body            io.ReadCloser
 	reader          *SSEReader
 	assembler       assembler
+	begun           bool
 	whole           bool
 }
 
 // Next returns the next event. io.EOF means that the answer is whole: it had a
 // finish reason and the final event.
 func (s *ChatStream) Next() (Event, error) {
+	if s.begun {
+		s.watch.Reset(s.idle)
+	}
 	data, err := s.reader.Next()
+	// The time that the caller takes to accept an event is not the engine's.
+	s.watch.Stop()
 	if err != nil {
 		return Event{}, s.fail(err)
 	}
-	s.watch.Reset(s.idle)
+	s.begun = true
 	if string(data) == doneData {
 		return Event{}, s.finish()
 	}
@@ -71,7 +77,7 @@
 		err = io.ErrUnexpectedEOF
 	}
 	cause := causeOr(s.limited, err)
-	if errors.Is(cause, ErrTimeout) && s.assembler.id != "" {
+	if errors.Is(cause, ErrTimeout) && s.begun {
 		cause = fmt.Errorf("%w: no event for %s", ErrCutShort, s.idle)
 	}
 	return classify(s.parent, cause)
