program: text that is not UTF-8, calls that nobody settles; lists: Current without a lock

Cause: idempotency keys and header values may hold any bytes, which the decoder refused on replicas; a host that gave up on Begin leaves a running call; a fold blocked the request path while it parsed. Change: the decoder accepts such text; Running and RunningClaims list what the owner should ask hosts about; BeginResult.WallLeft; Current reads an atomic pointer. Conclusion: covered in TestClaims and TestTurns.

--- a/internal/lists/diff.go
+++ b/internal/lists/diff.go
@@ -8,7 +8,7 @@
 )
 
 // maxDiffLines limits the description of one change.
-const maxDiffLines = 100
+const maxDiffLines = 50
 
 // Diff says in words what differs between two versions. Key hashes are shortened.
 func Diff(before, after *Lists) []string {
--- a/internal/lists/store.go
+++ b/internal/lists/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cowslipgw/internal/event"
@@ -20,6 +21,9 @@
 type Store struct {
 	now    func() time.Time
 	logger *event.Logger
+	// current is read on the request path, which must not wait for the lock while a new
+	// version is parsed.
+	current atomic.Pointer[Lists]
 
 	mu       sync.Mutex
 	state    State
@@ -39,7 +43,7 @@
 
 // NewStore returns a store with empty lists. now gives the time for the history.
 func NewStore(now func() time.Time, logger *event.Logger) *Store {
-	return &Store{
+	s := &Store{
 		now:      now,
 		logger:   logger,
 		state:    NewState(),
@@ -47,13 +51,13 @@
 		changed:  make(chan struct{}),
 		folded:   make(chan struct{}),
 	}
+	s.current.Store(s.state.Lists)
+	return s
 }
 
 // Current returns the lists in force. They must not be changed.
 func (s *Store) Current() *Lists {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Lists
+	return s.current.Load()
 }
 
 // Changed returns a channel that is closed when a newer version is in force.
@@ -114,6 +118,7 @@
 		s.noteLocked(step)
 	}
 	if next.Lists != before {
+		s.current.Store(next.Lists)
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
--- a/internal/program/begin.go
+++ b/internal/program/begin.go
@@ -39,6 +39,9 @@
 	Attained int64
 	// PromptTokens is the estimate that was reserved for the prompt.
 	PromptTokens int64
+	// WallLeft is how long the program may still run under its budget; 0 if that is not
+	// limited.
+	WallLeft time.Duration
 	// Fence is the fencing number of the call for upstreams that check it.
 	Fence uint64
 }
--- a/internal/program/begin_apply.go
+++ b/internal/program/begin_apply.go
@@ -29,7 +29,7 @@
 	r.LastUse = op.At
 	p.Running = &call{
 		ID: op.Call, Origin: op.Origin, Fence: op.Fence,
-		Messages: op.Messages, Prompt: op.Prompt, Reserved: op.Reserved,
+		Messages: op.Messages, Prompt: op.Prompt, Reserved: op.Reserved, At: op.At,
 	}
 	return nil
 }
--- a/internal/program/begin_decide.go
+++ b/internal/program/begin_decide.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return BeginOutcome{}, err
 	}
-	return BeginOutcome{Result: beginResult(r, p, op), Op: data}, nil
+	return BeginOutcome{Result: beginResult(r, p, op, req.Budget.Wall, clock.Now), Op: data}, nil
 }
 
 // notInView refuses a host that is not in the owner's view: nothing would end its call
@@ -86,7 +86,7 @@
 	if p.Running != nil && p.Running.ID == req.Call {
 		r, _ := s.find(req.Key)
 		again := &beginOp{Messages: p.Running.Messages, Number: p.Number, Fence: p.Running.Fence, Prompt: p.Running.Prompt}
-		return BeginOutcome{Result: beginResult(r, p, again)}, true, nil
+		return BeginOutcome{Result: beginResult(r, p, again, req.Budget.Wall, clock.Now)}, true, nil
 	}
 	if p.Last == req.Call {
 		problem := &structs.Problem{
@@ -163,7 +163,7 @@
 }
 
 // beginResult builds the answer from the state before the operation.
-func beginResult(r *root, p *state, op *beginOp) BeginResult {
+func beginResult(r *root, p *state, op *beginOp, wall time.Duration, now time.Time) BeginResult {
 	result := BeginResult{Turn: 1, Number: op.Number, PromptTokens: op.Prompt, Fence: op.Fence}
 	var history []structs.Message
 	if p != nil {
@@ -171,8 +171,12 @@
 		result.Turn = p.Turn + 1
 		result.Holders = append([]structs.ReplicaID(nil), p.Holders...)
 	}
+	result.WallLeft = wall
 	if r != nil {
 		result.Attained = r.Attained
+		if wall > 0 {
+			result.WallLeft = max(1, wall-time.Duration(now.UnixNano()-r.Started))
+		}
 	}
 	result.History = make([]structs.Message, 0, len(history)+len(op.Messages))
 	result.History = append(result.History, history...)
--- a/internal/program/op.go
+++ b/internal/program/op.go
@@ -115,11 +115,14 @@
 	return mode
 }()
 
-// decoding allows histories of more elements than the library's default.
+// decoding allows histories of more elements than the library's default, and text that
+// is not UTF-8: idempotency keys and header values are bytes, and an operation that
+// cannot be decoded would stop the partition.
 var decoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxArrayElements: 1 << 24,
 		MaxMapPairs:      1 << 24,
+		UTF8:             cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -28,6 +28,8 @@
 	is.Equal(again.Op, nil)
 	is.Equal(again.Result.Fence, begun.Result.Fence)
 	is.Equal(texts(again.Result.History), `user:"hi" `)
+	is.Equal(o.state.Running(epoch.Add(time.Second)), []program.RunningCall{{Key: first.Key, Call: "c1", Origin: a}})
+	is.Equal(len(o.state.Running(epoch)), 0)
 	second := first
 	second.Call = "c2"
 	second.Messages = []structs.Message{message("user", "more")}
@@ -161,7 +163,11 @@
 	o.elapsed += limits.Retention
 	o.expire()
 	is.Equal(ask("k1", "c10", b, 1).State, program.ClaimOpened)
-	is.Equal(ask("k4", "c11", b, 1).State, program.ClaimRunning) // Its host still runs it.
+	is.Equal(ask("k4", "c11", b, 1).State, program.ClaimRunning)       // Its host still runs it.
+	is.Equal(ask("k\xff\xfe", "c12", b, 1).State, program.ClaimOpened) // A header may hold any bytes.
+	is.Equal(len(o.state.RunningClaims(o.clock().Now)), 1)
+	is.Equal(o.state.RunningClaims(o.clock().Now)[0].Call, structs.CallID("c7"))
+	o.failOver(limits)
 	o.compare()
 }
 
--- /dev/null
+++ b/internal/program/running.go
@@ -0,0 +1,47 @@
+package program
+
+import (
+	"time"
+
+	"cowslipgw/internal/structs"
+)
+
+// RunningCall is a call that has begun and is not settled.
+type RunningCall struct {
+	Key    Key
+	Call   structs.CallID
+	Origin structs.Origin
+}
+
+// RunningClaim is a claim that is open.
+type RunningClaim struct {
+	Claim  ClaimKey
+	Call   structs.CallID
+	Origin structs.Origin
+}
+
+// Running returns the calls that began before a time, in order. The owner asks their
+// hosts whether they still run them: a host that gave up on a Begin whose answer was
+// late does not know that its call began, and the program would wait for ever.
+func (s *State) Running(before time.Time) []RunningCall {
+	var running []RunningCall
+	for _, key := range s.keys() {
+		_, p := s.find(key)
+		if p.Running != nil && p.Running.At < before.UnixNano() {
+			running = append(running, RunningCall{Key: key, Call: p.Running.ID, Origin: p.Running.Origin})
+		}
+	}
+	return running
+}
+
+// RunningClaims returns the claims that were opened before a time and are open, the
+// oldest first. A claim that its host no longer runs is closed as unknown.
+func (s *State) RunningClaims(before time.Time) []RunningClaim {
+	var running []RunningClaim
+	open := func(c *claim) bool { return c.Outcome == 0 && c.At < before.UnixNano() }
+	for _, key := range s.claimKeys(open) {
+		c := s.claims[key]
+		running = append(running, RunningClaim{Claim: key, Call: c.Call, Origin: c.Origin})
+	}
+	return running
+}
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -92,6 +92,7 @@
 	Messages []structs.Message `cbor:"4,keyasint,omitempty"`
 	Prompt   int64             `cbor:"5,keyasint,omitempty"`
 	Reserved int64             `cbor:"6,keyasint,omitempty"`
+	At       int64             `cbor:"7,keyasint"`
 }
 
 // window is a time on the monotonic clock of Owner; another owner cannot compare it.
