--- a/internal/account/limiter.go
+++ b/internal/account/limiter.go
@@ -20,10 +20,13 @@
 	smallBurst = 64
 	// tick is how often returns and reports are looked for.
 	tick = 50 * time.Millisecond
-	// shortWait is the shortage that a request waits out instead of being refused.
-	shortWait = 100 * time.Millisecond
+	// minRetry is the least time after which a refused caller is told to try again.
+	minRetry = 100 * time.Millisecond
+	// shortWait is the shortage that a request waits out instead of being refused: the
+	// bucket lags by what tokens spend on their way, a few round trips.
+	shortWait = 25 * time.Millisecond
 	// askAgain is the pause between two requests while tokens are unsettled.
-	askAgain = 50 * time.Millisecond
+	askAgain = 25 * time.Millisecond
 	// maxHold is how long a request waits for unsettled tokens. Other hosts report or
 	// return theirs within reportDelay, unusedFor and a tick.
 	maxHold = 1500 * time.Millisecond
@@ -89,7 +92,7 @@
 	}
 	if len(account.waiters) >= maxWaiters {
 		decision := account.decision(limits, now)
-		decision.RetryAfter = max(account.last.RetryAfter, shortWait)
+		decision.RetryAfter = max(account.last.RetryAfter, minRetry)
 		l.mu.Unlock()
 		return decision, nil
 	}
--- a/internal/account/local.go
+++ b/internal/account/local.go
@@ -147,21 +147,25 @@
 		switch {
 		case l.spend(now):
 			w.answer <- takeAnswer{allowed: true}
-		case !w.asked || w.mayHold(now) && (result.Unsettled > 0 || due <= shortWait):
+		case !w.asked || w.mayHold(result, due, now):
 			w.asked = false
 			waiting = append(waiting, w)
 			due += between
 		default:
-			w.answer <- takeAnswer{retry: max(due, shortWait)}
+			w.answer <- takeAnswer{retry: max(due, minRetry)}
 		}
 	}
 	l.waiters = waiting
 }
 
-// mayHold reports whether a waiter that is short of tokens may ask again: while other
-// hosts may return or report tokens, or when its token is due at once.
-func (w *waiter) mayHold(now time.Time) bool {
-	return now.Sub(w.since) < maxHold
+// mayHold reports whether a waiter that is short of tokens may ask again: for a while if
+// its token is due at once, and longer while other hosts may return or report tokens.
+func (w *waiter) mayHold(result GrantResult, due time.Duration, now time.Time) bool {
+	waited := now.Sub(w.since)
+	if waited < 2*shortWait && due <= shortWait {
+		return true
+	}
+	return waited < maxHold && result.Unsettled > 0
 }
 
 // fail ends all waiters with an error.
