Keep a quiet program's history longer than its engine memory

Cause: one idle time ended a program altogether, so a bid coach that paused for 10 minutes lost what the buyer had said. Change: engine memory is released after program_idle (10 min), the program ends after program_retention (72 h). Conclusion: both times are settings of their own.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,7 +150,8 @@
 // wirePartitions sets up replicated state and the operations on it.
 func (h *Host) wirePartitions() {
 	limits := program.DefaultLimits
-	limits.Idle = h.options.Settings.Limits.ProgramIdle
+	limits.Hold = h.options.Settings.Limits.ProgramIdle
+	limits.Idle = h.options.Settings.Limits.ProgramRetention
 	limits.Retention = h.options.Settings.Limits.ClaimRetention
 	h.manager = partition.NewManager(partition.Config{
 		Views:  h.member,
--- a/internal/program/expire.go
+++ b/internal/program/expire.go
@@ -4,13 +4,15 @@
 	"cowslipgw/internal/structs"
 )
 
-// DecideExpire ends programs without a call for the idle time and removes claims after
-// their retention, up to a batch of each. A claim whose host is still in the view and
+// DecideExpire releases the engine memory of programs without a call for the hold time,
+// ends those without a call for the idle time, and removes claims after their
+// retention, up to a batch of each. A claim whose host is still in the view and
 // has not closed it is kept. It returns nil if nothing is due.
 func (s *State) DecideExpire(inView InView, clock structs.OwnerClock) ([]byte, error) {
 	now := clock.Now.UnixNano()
 	op := &expireOp{Lossy: s.lossyUntil != 0 && s.lossyUntil <= now}
 	op.Programs = s.idlePrograms(now - int64(s.limits.Idle))
+	op.Forget = s.holdingPrograms(now - int64(s.limits.Hold))
 	old := s.claimKeys(func(c *claim) bool {
 		running := c.Outcome == 0 && inView(c.Origin)
 		return !running && c.At+int64(s.limits.Retention) <= now
@@ -21,7 +23,7 @@
 		// after copies were lost.
 		op.Buckets = s.buckets.Idle(clock, expireBatch)
 	}
-	if len(op.Programs) == 0 && len(op.Claims) == 0 && len(op.Buckets) == 0 && !op.Lossy {
+	if len(op.Programs) == 0 && len(op.Forget) == 0 && len(op.Claims) == 0 && len(op.Buckets) == 0 && !op.Lossy {
 		return nil, nil
 	}
 	return Op{Expire: op}.encode()
@@ -46,8 +48,27 @@
 	return idle[:min(len(idle), expireBatch)]
 }
 
+// holdingPrograms returns the programs that hold engine memory and had no call since a
+// time, in order.
+func (s *State) holdingPrograms(since int64) []Key {
+	var holding []Key
+	for _, key := range s.numbers {
+		_, p := s.find(key)
+		if p.Running == nil && len(p.Holders) > 0 && p.LastUse <= since {
+			holding = append(holding, key)
+		}
+	}
+	sortKeys(holding)
+	return holding[:min(len(holding), expireBatch)]
+}
+
 // applyExpire removes what is due.
 func (s *State) applyExpire(op *expireOp) {
+	for _, key := range op.Forget {
+		if _, p := s.find(key); p != nil {
+			s.forget(p)
+		}
+	}
 	for _, key := range op.Programs {
 		s.applyEnd(key)
 	}
--- a/internal/program/limits.go
+++ b/internal/program/limits.go
@@ -7,7 +7,9 @@
 type Limits struct {
 	// Retention is how long a claim is kept after it was closed.
 	Retention time.Duration
-	// Idle is how long a program lives without a call.
+	// Hold is how long a program keeps engine memory without a call.
+	Hold time.Duration
+	// Idle is how long a program lives without a call; its history goes with it.
 	Idle time.Duration
 	// MaxClaims limits the claims. At the limit new claims are refused unrun: to drop
 	// a claim early could run its request twice.
@@ -21,7 +23,8 @@
 // for 24 h, and about 1 GiB of answers on each of 12 hosts with 1,024 copies each.
 var DefaultLimits = Limits{
 	Retention:      24 * time.Hour,
-	Idle:           30 * time.Minute,
+	Hold:           10 * time.Minute,
+	Idle:           72 * time.Hour,
 	MaxClaims:      7_200,
 	MaxAnswerBytes: 1 << 20,
 }
--- a/internal/program/op.go
+++ b/internal/program/op.go
@@ -85,12 +85,13 @@
 	Numbers []uint64          `cbor:"2,keyasint,omitempty"`
 }
 
-// expireOp removes idle programs, old claims and old buckets.
+// expireOp releases memory of quiet programs and removes idle programs, old claims and old buckets.
 type expireOp struct {
 	Programs []Key               `cbor:"1,keyasint,omitempty"`
 	Claims   []ClaimKey          `cbor:"2,keyasint,omitempty"`
 	Buckets  []structs.AccountID `cbor:"3,keyasint,omitempty"`
 	Lossy    bool                `cbor:"4,keyasint,omitempty"`
+	Forget   []Key               `cbor:"5,keyasint,omitempty"`
 }
 
 // windowOp restarts a dispatch window at a new owner.
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -79,6 +79,8 @@
 	HostsTTL time.Duration
 	// ProgramIdle is how long a program without calls keeps engine memory.
 	ProgramIdle time.Duration
+	// ProgramRetention is how long a program without calls keeps its history.
+	ProgramRetention time.Duration
 	// ClaimRetention is how long a finished idempotency claim is kept.
 	ClaimRetention time.Duration
 	// Freshness is how old the host's knowledge of the lists may be, and Stale how long
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -66,6 +66,7 @@
 	{"limits", "default_max_tokens", "4096", false, count(func(h *Host) *int64 { return &h.Limits.MaxTokens }, "tokens", 1, 1<<24)},
 	{"limits", "entry_hosts_ttl", "30s", false, duration(func(h *Host) *time.Duration { return &h.Limits.HostsTTL }, time.Second, time.Hour)},
 	{"limits", "program_idle", "10m", false, duration(func(h *Host) *time.Duration { return &h.Limits.ProgramIdle }, time.Second, 30*day)},
+	{"limits", "program_retention", "72h", false, duration(func(h *Host) *time.Duration { return &h.Limits.ProgramRetention }, time.Minute, 90*day)},
 	{"limits", "claim_retention", "24h", false, duration(func(h *Host) *time.Duration { return &h.Limits.ClaimRetention }, time.Minute, 30*day)},
 	{"limits", "lists_freshness", "3s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Freshness }, time.Second, 10*time.Second)},
 	{"limits", "lists_stale", "5s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Stale }, 0, 10*time.Second)},
