--- a/internal/owner/release.go
+++ b/internal/owner/release.go
@@ -79,6 +79,7 @@
 // reportedPrograms returns, by partition, the programs that replicas report to hold.
 func (s *Sweeper) reportedPrograms() map[partition.ID][]releaseKey {
 	reported := make(map[partition.ID][]releaseKey)
+	all := make(map[releaseKey]bool)
 	for _, replica := range s.options.Directory.All() {
 		load, ok := s.options.Directory.Load(replica.ID)
 		if !ok {
@@ -86,9 +87,12 @@
 		}
 		for _, number := range load.Programs {
 			id := program.PartitionOf(number)
-			reported[id] = append(reported[id], releaseKey{replica.ID, number})
+			key := releaseKey{replica.ID, number}
+			reported[id] = append(reported[id], key)
+			all[key] = true
 		}
 	}
+	s.releases.keepOrphans(all)
 	return reported
 }
 
@@ -214,6 +218,17 @@
 	return at, ok
 }
 
+// keepOrphans drops what is known of orphans that are not reported any more.
+func (r *releases) keepOrphans(reported map[releaseKey]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key := range r.orphans {
+		if !reported[key] {
+			delete(r.orphans, key)
+		}
+	}
+}
+
 // forgetOthers drops what is known of releases that are not pending any more.
 func (r *releases) forgetOthers(pending []pendingRelease) {
 	keep := make(map[releaseKey]bool, len(pending))
