--- a/internal/entry/apps_test.go
+++ b/internal/entry/apps_test.go
@@ -162,3 +162,28 @@
 		is.True(strings.Contains(got.body, "key-withdrawn"))
 	})
 }
+
+// TestAppWithdrawnMidBody guards against an error event within a body that is no
+// stream, and against a claimed request that is given up with its key.
+func TestAppWithdrawnMidBody(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.limits.Stored = 1000
+		f.replica(firstReplica, func(w http.ResponseWriter, _ *http.Request) {
+			io.WriteString(w, strings.Repeat("x", 5000))
+			w.(http.Flusher).Flush()
+			time.Sleep(time.Minute)
+			io.WriteString(w, "end")
+		})
+		f.start()
+		go func() {
+			time.Sleep(time.Second)
+			f.lists.put(testLists("another-key"))
+		}()
+		got := f.app("POST", "/bids", "x", "Idempotency-Key", "k")
+		is.True(got.err != nil)
+		is.True(!strings.Contains(got.body, "data:"))
+		is.Equal(len(f.owner.closes), 0)
+		time.Sleep(2 * time.Minute)
+		is.Equal(f.owner.closes[0].Outcome, structs.OutcomeAnswered)
+	})
+}
--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -183,15 +183,17 @@
 	})
 }
 
-// TestStreamCutShort guards against a partial stream that looks whole.
+// TestStreamCutShort guards against a partial stream that looks whole, and against a
+// program that ends although its last call failed.
 func TestStreamCutShort(t *testing.T) {
 	run(t, func(is *is.I, f *fixture) {
 		f.replica(firstReplica, func(w http.ResponseWriter, _ *http.Request) { streamWords(w, "hel") })
 		f.start()
-		got := f.chat(streamBody, "Cowslip-Program", "p")
+		got := f.chat(streamBody, "Cowslip-Program", "p", "Cowslip-Program-End", "true")
 		is.True(!strings.Contains(got.body, "[DONE]"))
 		is.True(strings.Contains(got.body, `"run":"unknown"`))
 		is.Equal(f.owner.lastSettle().Outcome, structs.OutcomeUnknown)
+		is.True(!f.owner.lastSettle().End)
 	})
 }
 
