--- a/internal/program/op.go
+++ b/internal/program/op.go
@@ -85,12 +85,13 @@
 	Numbers []uint64          `cbor:"2,keyasint,omitempty"`
 }
 
-// expireOp removes idle programs, old claims and old buckets.
+// expireOp releases memory of quiet programs and removes idle programs, old claims and old buckets.
 type expireOp struct {
 	Programs []Key               `cbor:"1,keyasint,omitempty"`
 	Claims   []ClaimKey          `cbor:"2,keyasint,omitempty"`
 	Buckets  []structs.AccountID `cbor:"3,keyasint,omitempty"`
 	Lossy    bool                `cbor:"4,keyasint,omitempty"`
+	Forget   []Key               `cbor:"5,keyasint,omitempty"`
 }
 
 // windowOp restarts a dispatch window at a new owner.
@@ -115,11 +116,14 @@
 	return mode
 }()
 
-// decoding allows histories of more elements than the library's default.
+// decoding allows histories of more elements than the library's default, and text that
+// is not UTF-8: idempotency keys and header values are bytes, and an operation that
+// cannot be decoded would stop the partition.
 var decoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxArrayElements: 1 << 24,
 		MaxMapPairs:      1 << 24,
+		UTF8:             cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -92,6 +92,7 @@
 	Messages []structs.Message `cbor:"4,keyasint,omitempty"`
 	Prompt   int64             `cbor:"5,keyasint,omitempty"`
 	Reserved int64             `cbor:"6,keyasint,omitempty"`
+	At       int64             `cbor:"7,keyasint"`
 }
 
 // window is a time on the monotonic clock of Owner; another owner cannot compare it.
@@ -196,3 +197,8 @@
 	}
 	return s
 }
+
+// ID returns the partition.
+func (s *State) ID() partition.ID {
+	return s.id
+}
