--- a/cmd/cowslipgw/dev_system.go
+++ b/cmd/cowslipgw/dev_system.go
@@ -151,7 +151,7 @@
 	}
 	s.AdminAddress = "127.0.0.1:0"
 	s.ControlAddress = "127.0.0.1:0"
-	s.Platform = settings.Platform{Log: d.outside.Address("log"), HostList: d.outside.Address("hosts")}
+	s.Platform.Log, s.Platform.HostList = d.outside.Address("log"), d.outside.Address("hosts")
 	s.Upstream.Credential = "dev-host-credential"
 	s.Limits.HostsTTL = devHostsTTL
 	return s
--- a/internal/fleet/member_freshness.go
+++ b/internal/fleet/member_freshness.go
@@ -3,12 +3,17 @@
 import "time"
 
 // Current reports whether this host's records are fresh enough to decide about
-// keys (docs/design.md, section 5.6).
+// keys (docs/design.md, section 5.6). An outage of the log excuses only a host that is in
+// the view: one that started during the outage has no records and knows of no others.
 func (m *Member) Current(now time.Time) bool {
 	if m.readAge() <= FreshFor {
 		return true
 	}
-	return m.Freshness(now).Current()
+	freshness := m.Freshness(now)
+	if m.Incarnation() == 0 {
+		return freshness.Known() <= FreshFor
+	}
+	return freshness.Current()
 }
 
 // Freshness returns what this host knows about the age of its records.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,10 +24,6 @@
 	"cowslipgw/internal/upstream"
 )
 
-// logRetention is how long the log service keeps records at the least. Snapshots are
-// appended four times in that time.
-const logRetention = 24 * time.Hour
-
 // Host is one entry host.
 type Host struct {
 	options   Options
@@ -37,6 +33,7 @@
 	appender  *logservice.Appender
 	member    *fleet.Member
 	store     *lists.Store
+	snapshots *listsSnapshots
 	followers []*logservice.Follower
 
 	controlClient *control.Client
@@ -129,11 +126,12 @@
 		Appender:  h.appender,
 		Caller:    h.controlClient,
 		Logger:    h.options.Logger,
-		Retention: logRetention,
+		Retention: s.Platform.LogRetention,
 	})
 	h.store = lists.NewStore(time.Now, h.options.Logger)
 	h.follow(fleet.Stream, h.member)
 	h.follow(lists.Stream, listsHandler{h.store})
+	h.snapshots = newListsSnapshots(h.store, h.member.FirstLive, h.appendListsSnapshot, s.Platform.LogRetention, h.options.Logger)
 	h.fresh = &freshness{
 		current: h.member.Current, complete: h.store.Complete,
 		stale: s.Limits.Stale, logger: h.options.Logger,
--- a/internal/host/lists_follower.go
+++ b/internal/host/lists_follower.go
@@ -18,6 +18,7 @@
 	}
 }
 
-// Trimmed needs no action: the store notices the gap in the offsets and waits for a
-// snapshot.
-func (listsHandler) Trimmed(structs.Offset) {}
+// Trimmed makes the store wait for a snapshot.
+func (h listsHandler) Trimmed(first structs.Offset) {
+	h.store.Trimmed(first)
+}
--- /dev/null
+++ b/internal/host/lists_test.go
@@ -0,0 +1,199 @@
+package host_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cowslipgw/internal/standin/logserver"
+)
+
+// inForceWithin is the time in which an accepted edit is in force at all hosts that can
+// reach the log or a peer.
+const inForceWithin = 5 * time.Second
+
+// version is what a host says about its lists.
+type version struct {
+	Version  uint64 `json:"version"`
+	Accounts string `json:"accounts"`
+}
+
+// lists asks a host for the lists in force; Version is 0 if it has no answer.
+func (c *chaos) lists(i int) version {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var found version
+	got := c.sendTo(ctx, hostIP(i)+":81", get("/admin/lists", ""))
+	if got.err == nil && got.status == 200 {
+		_ = json.Unmarshal([]byte(got.body), &found)
+	}
+	return found
+}
+
+// accountsOf returns accounts which a named edit has marked.
+func accountsOf(edit string) string { return defaultAccounts + "# " + edit + "\n" }
+
+// edit puts new accounts at a host, as an operator does.
+func (c *chaos) edit(i int, base uint64, name string) answer {
+	body, _ := json.Marshal(map[string]any{
+		"base": base, "by": name, "message": "", "accounts": c.withHashes(accountsOf(name)), "plans": defaultPlans,
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
+	defer cancel()
+	return c.sendTo(ctx, hostIP(i)+":81", call{method: http.MethodPut, path: "/admin/lists", body: string(body)})
+}
+
+// watchVersions checks until stop is closed that no host's version goes back.
+func (c *chaos) watchVersions(stop <-chan struct{}) {
+	newest := make([]uint64, c.config.hosts)
+	for i := range c.config.hosts {
+		c.work.Go(func() {
+			for {
+				if found := c.lists(i).Version; found > 0 && found < newest[i] {
+					c.t.Errorf("host %d went back from version %d to %d", i, newest[i], found)
+				} else if found > 0 {
+					newest[i] = found
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(300 * time.Millisecond):
+				}
+			}
+		})
+	}
+}
+
+// agreed returns the version that all hosts have within the given time.
+func (c *chaos) agreed(within time.Duration) version {
+	c.t.Helper()
+	var first version
+	c.await(within, "one version at all hosts", func() bool {
+		first = c.lists(0)
+		for i := range c.config.hosts {
+			if c.lists(i) != first {
+				return false
+			}
+		}
+		return first.Version > 0
+	})
+	return first
+}
+
+// TestOneRacingEditWins guards against hosts that disagree about the winner of operators'
+// racing edits, and against operators who are told the wrong winner.
+func TestOneRacingEditWins(t *testing.T) {
+	faults := append(append([]fault(nil), moveFaults...), hostFaults[2], logFaults[0], logFaults[1], logFaults[2])
+	none := []fault{{"none", func(*chaos, bool) {}}}
+	runChaos(t, siteConfig{}, append(pairs(faults...), none), func(c *chaos, faults []fault) {
+		c.owner, c.entry = 1, 2
+		stop := make(chan struct{})
+		c.watchVersions(stop)
+		operators := []int{c.owner, c.entry, 3}
+		base := c.agreed(time.Second).Version
+		results := make([]answer, len(operators))
+		var edits sync.WaitGroup
+		for n, i := range operators {
+			edits.Go(func() { results[n] = c.edit(i, base, fmt.Sprint("operator-", n)) })
+		}
+		c.inject(faults, 6*time.Second)
+		edits.Wait()
+		final := c.agreed(10 * time.Second)
+		for n, got := range results {
+			won := final.Accounts == c.withHashes(accountsOf(fmt.Sprint("operator-", n)))
+			if got.status == 200 && !won || got.status == 409 && won {
+				c.t.Errorf("operator %d was answered %d %s; its edit is in force: %v", n, got.status, got.body, won)
+			}
+		}
+		if next := c.edit(0, base, "late"); next.status != 409 && final.Version > base {
+			c.t.Errorf("an edit of an old version was answered %d %s", next.status, next.body)
+		}
+		if next := c.edit(5, final.Version, "next"); next.status != 200 {
+			c.t.Errorf("an edit of the version in force was answered %d %s", next.status, next.body)
+		}
+		if got := c.agreed(inForceWithin); got.Accounts != c.withHashes(accountsOf("next")) {
+			c.t.Errorf("version %d is not the last edit:\n%s", got.Version, got.Accounts)
+		}
+		close(stop)
+		c.work.Wait()
+	})
+}
+
+// TestEditReachesHostsCutFromLog guards against a host that follows the log through its
+// peers only and does not get an edit in time.
+func TestEditReachesHostsCutFromLog(t *testing.T) {
+	runSite(t, siteConfig{}, func(s *site) {
+		c := &chaos{site: s}
+		for _, i := range []int{0, 2, 3} {
+			c.setCut(true, i, logIP)
+		}
+		time.Sleep(10 * time.Second)
+		c.publish("lists-2", 1, withoutClinicKey, defaultPlans)
+		c.agreed(inForceWithin)
+		for i := range c.config.hosts {
+			if got := c.try(i, "", c.unclaimed("clinic-2", "x")); got.status != 200 {
+				t.Errorf("host %d does not accept the new key: %d %s", i, got.status, got.body)
+			}
+		}
+		for _, i := range []int{0, 2, 3} {
+			c.setCut(false, i, logIP)
+		}
+	})
+}
+
+// TestListsSurviveTrimmedLog guards against lists that are lost or go back when every
+// host is replaced after the log has trimmed all edits, also after an outage that was
+// longer than the retention time.
+func TestListsSurviveTrimmedLog(t *testing.T) {
+	const retention = 2 * time.Minute
+	runSite(t, siteConfig{log: logserver.Settings{RetainFor: retention}}, func(s *site) {
+		c := &chaos{site: s}
+		stop := make(chan struct{})
+		c.watchVersions(stop)
+		base := c.agreed(time.Second).Version
+		for n := range 3 {
+			if got := c.edit(n, base, fmt.Sprint("edit-", n)); got.status != 200 {
+				t.Fatalf("edit %d: %d %s", n, got.status, got.body)
+			}
+			base = c.agreed(inForceWithin).Version
+		}
+		replace := func() {
+			t.Helper()
+			for i := range c.config.hosts {
+				c.kill(i)
+				time.Sleep(5 * time.Second)
+				c.start(i)
+				c.awaitReady()
+				if got := c.agreed(inForceWithin).Version; got != base {
+					t.Errorf("after host %d was replaced, version %d is in force and not %d", i, got, base)
+				}
+			}
+		}
+		time.Sleep(2 * retention)
+		replace()
+		logFaults[0].set(c, true)
+		time.Sleep(2 * retention)
+		c.kill(0)
+		c.start(0)
+		for range 5 {
+			if got := c.try(0, "", get("/v1/models", c.key("clinic"))); got.err == nil && got.status != 503 {
+				t.Errorf("a host without lists answered %d %s", got.status, got.body)
+			}
+			time.Sleep(time.Second)
+		}
+		logFaults[0].set(c, false)
+		c.await(retention, "host 0 to serve", func() bool { return c.lists(0).Version == base })
+		c.awaitReady()
+		replace()
+		if got := c.edit(0, base, "last"); got.status != 200 {
+			t.Errorf("edit after all: %d %s", got.status, got.body)
+		}
+		c.agreed(inForceWithin)
+		close(stop)
+		c.work.Wait()
+	})
+}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -66,6 +66,7 @@
 	run(h.sweeper.Run)
 	run(h.dispatcher.Run)
 	run(h.fresh.run)
+	run(h.snapshots.run)
 	run(h.followView)
 	run(func(ctx context.Context) { h.limiter.Run(ctx, limitsOf(h.store)) })
 	run(func(ctx context.Context) { _ = h.directory.Run(ctx) })
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -281,7 +281,10 @@
 	config.Region = s.config.region
 	config.Domain = s.config.domains[i%len(s.config.domains)]
 	config.EntryAddress, config.AdminAddress, config.ControlAddress = ip+":80", ip+":81", ip+":82"
-	config.Platform = settings.Platform{Log: logIP + ":80", HostList: hostListIP + ":80"}
+	config.Platform.Log, config.Platform.HostList = logIP+":80", hostListIP+":80"
+	if s.config.log.RetainFor > 0 {
+		config.Platform.LogRetention = s.config.log.RetainFor
+	}
 	config.Upstream.Credential = credential
 	logger := event.New(s.config.logTo, true, 5)
 	tracer, err := trace.New(context.Background(), trace.Options{})
--- a/internal/lists/fold.go
+++ b/internal/lists/fold.go
@@ -71,11 +71,7 @@
 	if next.Offset <= state.Folded {
 		return state, []Step{{Record: next, Before: state.Lists, After: state.Lists}}
 	}
-	if next.Offset != state.Folded+1 {
-		state.Complete = false
-		state.after = next.Offset - 1
-		state.pending = nil
-	}
+	state = trim(state, next.Offset)
 	state.Folded = next.Offset
 	if state.Complete {
 		step := change(state.Lists, next)
@@ -88,6 +84,19 @@
 	return postpone(state, next)
 }
 
+// trim returns the state when the log keeps no record before first. Records between the
+// state and first are missing then.
+func trim(state State, first structs.Offset) State {
+	if first <= state.Folded+1 {
+		return state
+	}
+	state.Complete = false
+	state.Folded = first - 1
+	state.after = first - 1
+	state.pending = nil
+	return state
+}
+
 // change judges a change on a complete state.
 func change(current *Lists, next Positioned) Step {
 	step := Step{Record: next, Before: current, After: current}
--- a/internal/lists/store.go
+++ b/internal/lists/store.go
@@ -27,6 +27,7 @@
 
 	mu       sync.Mutex
 	state    State
+	snapshot structs.Offset
 	history  []Change
 	outcomes map[string]judged
 	order    []string
@@ -114,6 +115,9 @@
 	next, steps := Fold(s.state, Positioned{Offset: record.Offset, Record: decoded})
 	before := s.state.Lists
 	s.state = next
+	if decoded.Snapshot {
+		s.snapshot = record.Offset
+	}
 	for _, step := range steps {
 		s.noteLocked(step)
 	}
@@ -126,6 +130,21 @@
 	s.folded = make(chan struct{})
 }
 
+// Trimmed says that the log keeps no record before first. Unless they were folded, the
+// lists in force are not known until a snapshot is folded.
+func (s *Store) Trimmed(first structs.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = trim(s.state, first)
+}
+
+// LastSnapshot returns the offset of the newest snapshot record folded; 0 for none.
+func (s *Store) LastSnapshot() structs.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
 // noteLocked records one step in the history and for waiting puts. s.mu is held.
 func (s *Store) noteLocked(step Step) {
 	id := step.Record.Record.ID
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -27,10 +27,14 @@
 	TraceEndpoint string
 }
 
-// Platform says where the platform's services are, as "ip:port".
+// Platform says where the platform's services are, as "ip:port", and what the log
+// promises.
 type Platform struct {
 	Log      string
 	HostList string
+	// LogRetention is how long the log service keeps records at the least. Snapshots are
+	// appended four times in that time.
+	LogRetention time.Duration
 }
 
 // Upstream says how the host talks to upstreams.
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -39,6 +39,7 @@
 
 	{"platform", "log", "", false, service(func(h *Host) *string { return &h.Platform.Log })},
 	{"platform", "host_list", "", false, service(func(h *Host) *string { return &h.Platform.HostList })},
+	{"platform", "log_retention", "24h", false, duration(func(h *Host) *time.Duration { return &h.Platform.LogRetention }, time.Minute, 365*day)},
 
 	{"upstream", credentialKey, "", true, text(func(h *Host) *string { return &h.Upstream.Credential })},
 	{"upstream", credentialFileKey, "", true, kind{allowed: "the path of a file with one line", set: func(*Host, string) bool { return true }}},
