--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -45,6 +45,8 @@
 	log                logserver.Settings
 	// accounts and plans are the two lists; keys in accounts are written as {key NAME}.
 	accounts, plans string
+	// change alters the settings of every host; nil for none.
+	change func(*settings.Host)
 	// delay is the one-way delay of every link.
 	delay time.Duration
 	// logTo gets the hosts' events; nil for none.
@@ -286,6 +288,9 @@
 		config.Platform.LogRetention = s.config.log.RetainFor
 	}
 	config.Upstream.Credential = credential
+	if s.config.change != nil {
+		s.config.change(&config)
+	}
 	logger := event.New(s.config.logTo, true, 5)
 	tracer, err := trace.New(context.Background(), trace.Options{})
 	if err != nil {
