--- a/internal/host/chaos_test.go
+++ b/internal/host/chaos_test.go
@@ -220,8 +220,8 @@
 // moveFaults take the owner's state to another host, or try to.
 var moveFaults = []fault{hostFaults[0], hostFaults[1], hostFaults[6], hostFaults[7], hostFaults[8], hostFaults[10]}
 
-// allPairs runs every two faults together, which takes a few minutes of processor time.
-var allPairs = flag.Bool("site.all", false, "run all pairs of faults")
+// everyPair runs every two faults together, which takes a few minutes of processor time.
+var everyPair = flag.Bool("site.all", false, "run all pairs of faults")
 
 // pairs returns each fault alone, and each two together of which keep wants the pair.
 func pairs(faults []fault, keep func(a, b fault) bool) [][]fault {
@@ -229,7 +229,7 @@
 	for i, first := range faults {
 		all = append(all, []fault{first})
 		for _, second := range faults[i+1:] {
-			if *allPairs || keep(first, second) {
+			if *everyPair || keep(first, second) {
 				all = append(all, []fault{first, second})
 			}
 		}
