--- a/internal/host/lists_test.go
+++ b/internal/host/lists_test.go
@@ -88,6 +88,7 @@
 // TestOneRacingEditWins guards against hosts that disagree about the winner of operators'
 // racing edits, and against operators who are told the wrong winner.
 func TestOneRacingEditWins(t *testing.T) {
+	t.Parallel()
 	keep := both("kill-owner", "cut-owner-from-all", "restart-owner", "log-down", "log-loses-answers")
 	runChaos(t, siteConfig{}, pairs(slices.Concat(hostFaults, logFaults), keep), func(c *chaos, faults []fault) {
 		c.owner, c.entry = 1, 2
@@ -126,6 +127,7 @@
 // TestEditReachesHostsCutFromLog guards against a host that follows the log through its
 // peers only and does not get an edit in time.
 func TestEditReachesHostsCutFromLog(t *testing.T) {
+	t.Parallel()
 	runSite(t, siteConfig{}, func(s *site) {
 		c := &chaos{site: s}
 		for _, i := range []int{0, 2, 3} {
@@ -149,6 +151,7 @@
 // host is replaced after the log has trimmed all edits, also after an outage that was
 // longer than the retention time.
 func TestListsSurviveTrimmedLog(t *testing.T) {
+	t.Parallel()
 	const retention = 2 * time.Minute
 	runSite(t, siteConfig{log: logserver.Settings{RetainFor: retention}}, func(s *site) {
 		c := &chaos{site: s}
--- a/internal/host/random_test.go
+++ b/internal/host/random_test.go
@@ -24,6 +24,7 @@
 // scenario has: chat programs and non-idempotent calls run while random hosts die, are
 // cut off and restart, and the log and upstreams fail.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(*siteSeeds) {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
