--- a/internal/upstream/helpers_test.go
+++ b/internal/upstream/helpers_test.go
@@ -19,15 +19,21 @@
 // serve starts an HTTP server on the network until the test ends. It reads each
 // request's body first, since net/http notices a closed connection only then.
 func serve(t *testing.T, network *transport.Memory, address string, handler http.HandlerFunc) {
+	t.Helper()
+	serveWhole(t, network, address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		handler(w, r)
+	}))
+}
+
+// serveWhole starts an HTTP server whose handler reads the body itself.
+func serveWhole(t *testing.T, network *transport.Memory, address string, handler http.Handler) {
 	t.Helper()
 	listener, err := network.Host(address[:len(address)-3]).Listen(context.Background(), address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body)
-		handler(w, r)
-	})}
+	server := &http.Server{Handler: handler}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
 }
