Read the fake owner under its lock in a test

go test -race -count=15 found that the test read the closed claims while a claimed call went on in the background. The code under test is not concerned.

--- a/internal/entry/apps_test.go
+++ b/internal/entry/apps_test.go
@@ -182,8 +182,8 @@
 		got := f.app("POST", "/bids", "x", "Idempotency-Key", "k")
 		is.True(got.err != nil)
 		is.True(!strings.Contains(got.body, "data:"))
-		is.Equal(len(f.owner.closes), 0)
+		is.Equal(len(f.owner.closed()), 0)
 		time.Sleep(2 * time.Minute)
-		is.Equal(f.owner.closes[0].Outcome, structs.OutcomeAnswered)
+		is.Equal(f.owner.closed()[0].Outcome, structs.OutcomeAnswered)
 	})
 }
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +101,13 @@
 	return f.settles[len(f.settles)-1]
 }
 
+// closed returns how claims were closed so far.
+func (f *fakeOwner) closed() []program.CloseRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.closes)
+}
+
 // fakeRates admits a number of requests.
 type fakeRates struct {
 	mu   sync.Mutex
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -72,7 +72,7 @@
 		is.True(strings.HasSuffix((<-got).body, "[DONE]\n\n"))
 		f.client.CloseIdleConnections()
 		is.True(<-shut >= 8*time.Second)
-		is.Equal(len(f.owner.closes), 1)
+		is.Equal(len(f.owner.closed()), 1)
 	})
 }
 
