lists: Put waits for its append to end

Cause: the race detector showed that the append of an earlier Put could still run when the next one began. Change: Put cancels the append and waits for it before it returns. Conclusion: go test -race on the package passes three times.

--- a/internal/lists/put.go
+++ b/internal/lists/put.go
@@ -57,10 +57,16 @@
 	if err != nil {
 		return PutResult{}, err
 	}
-	appended := make(chan error, 1)
 	appending, stop := context.WithCancel(ctx)
-	defer stop()
-	go func() { appended <- appendUntilDone(appending, log, record.ID, data) }()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		appendUntilDone(appending, log, record.ID, data)
+	}()
+	defer func() {
+		stop()
+		<-ended
+	}()
 	for {
 		verdict, known, folded := store.outcome(record.ID)
 		if known {
@@ -68,8 +74,6 @@
 		}
 		select {
 		case <-folded:
-		case <-appended:
-			appended = nil
 		case <-ctx.Done():
 			return PutResult{State: PutUnknown, Version: store.Current().Version}, nil
 		}
@@ -77,19 +81,19 @@
 }
 
 // appendUntilDone appends until the log confirms it or ctx ends.
-func appendUntilDone(ctx context.Context, log Appender, id string, data []byte) error {
+func appendUntilDone(ctx context.Context, log Appender, id string, data []byte) {
 	wait := firstRetry
 	for {
 		_, err := log.Append(ctx, Stream, id, data)
 		if err == nil || ctx.Err() != nil {
-			return err
+			return
 		}
 		timer := time.NewTimer(wait)
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return ctx.Err()
+			return
 		}
 		wait = min(2*wait, lastRetry)
 	}
