--- a/internal/partition/cluster_test.go
+++ b/internal/partition/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -116,8 +117,15 @@
 
 // owner returns the live host that the first live host takes for the owner.
 func (c *cluster) owner(id partition.ID) *fleettest.Host {
+	return c.ownerFrom(id, 0)
+}
+
+// ownerFrom asks the live hosts in turn, from the given one on. One that is cut off
+// may name an owner that was replaced.
+func (c *cluster) ownerFrom(id partition.ID, first int) *fleettest.Host {
 	live := c.Live()
-	for _, asked := range live {
+	for i := range live {
+		asked := live[(first+i)%len(live)]
 		owner, found := c.manager(asked).OwnerOf(id)
 		if !found {
 			continue
@@ -151,7 +159,7 @@
 	defer cancel()
 	err := partition.ErrNotReady
 	for ctx.Err() == nil {
-		if h := c.owner(id); h != nil {
+		if h := c.ownerFrom(id, rand.IntN(len(c.Hosts))); h != nil {
 			err = c.manager(h).Propose(ctx, id, put(op))
 		}
 		if !errors.Is(err, partition.ErrNotOwner) && !errors.Is(err, partition.ErrNotReady) {
--- /dev/null
+++ b/internal/partition/stage_test.go
@@ -0,0 +1,281 @@
+package partition_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipgw/internal/control"
+	"cowslipgw/internal/fleet"
+	"cowslipgw/internal/partition"
+	"cowslipgw/internal/structs"
+	"cowslipgw/internal/transport"
+)
+
+// views is a Historian whose views the test sets.
+type views struct {
+	self        structs.HostID
+	mu          sync.Mutex
+	list        []*fleet.View
+	incarnation structs.Incarnation
+	changed     chan struct{}
+}
+
+func (v *views) Self() structs.HostID { return v.self }
+
+func (v *views) View() *fleet.View {
+	list, _ := v.Recent()
+	return list[len(list)-1]
+}
+
+func (v *views) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *views) Recent() ([]*fleet.View, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.list), true
+}
+
+func (v *views) Incarnation() structs.Incarnation {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.incarnation
+}
+
+func (v *views) set(view *fleet.View) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.list = append(v.list, view)
+	if host, found := view.Find(v.self); found {
+		v.incarnation = host.Incarnation
+	}
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// stage has managers whose views are set by hand.
+type stage struct {
+	network  *transport.Memory
+	views    map[structs.HostID]*views
+	managers map[structs.HostID]*partition.Manager
+	clients  map[structs.HostID]*control.Client
+	lost     int
+}
+
+func newStage(t *testing.T, hosts int) *stage {
+	s := &stage{
+		network:  transport.NewMemory(),
+		views:    make(map[structs.HostID]*views),
+		managers: make(map[structs.HostID]*partition.Manager),
+		clients:  make(map[structs.HostID]*control.Client),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	for i := range hosts {
+		host := stageHost(i)
+		network := s.network.Host(stageIP(host.ID))
+		v := &views{self: host.ID, changed: make(chan struct{})}
+		client, server := control.NewClient(network), control.NewServer()
+		manager := partition.NewManager(partition.Config{
+			Views:  v,
+			Caller: client,
+			New:    func(partition.ID) partition.Machine { return &journal{} },
+			Lost:   func(partition.ID, partition.Machine) { s.lost++ },
+		})
+		s.views[host.ID], s.managers[host.ID], s.clients[host.ID] = v, manager, client
+		if err := server.Register(partition.ServiceName, partition.NewService(manager)); err != nil {
+			t.Fatal(err)
+		}
+		listener, err := network.Listen(ctx, host.ControlAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done.Go(func() { manager.Run(ctx) })
+		go server.Serve(listener)
+		t.Cleanup(func() {
+			listener.Close()
+			client.Close()
+			server.Close()
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+	return s
+}
+
+func stageIP(id structs.HostID) string { return "10.1.0." + string(id[1:]) }
+
+func stageHost(i int) fleet.Host {
+	id := structs.HostID(fmt.Sprintf("h%d", i+1))
+	return fleet.Host{
+		ID:             id,
+		Incarnation:    structs.Incarnation(i + 1),
+		Domain:         structs.Domain(id),
+		ControlAddress: stageIP(id) + ":7000",
+	}
+}
+
+// viewWith returns a view of the hosts with the given indexes.
+func viewWith(number structs.ViewNumber, indexes ...int) *fleet.View {
+	view := &fleet.View{Number: 100 + number}
+	for _, i := range indexes {
+		view.Hosts = append(view.Hosts, stageHost(i))
+	}
+	return view
+}
+
+// set publishes a view to the named hosts and lets the managers settle.
+func (s *stage) set(view *fleet.View, hosts ...structs.HostID) {
+	for _, id := range hosts {
+		s.views[id].set(view)
+	}
+	time.Sleep(200 * time.Millisecond)
+}
+
+func (s *stage) propose(host structs.HostID, id partition.ID, op string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return s.managers[host].Propose(ctx, id, put(op))
+}
+
+func (s *stage) read(host structs.HostID, id partition.ID, limit time.Duration) ([]string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var ops []string
+	err := s.managers[host].Propose(ctx, id, func(m partition.Machine) ([]byte, error) {
+		ops = slices.Clone(m.(*journal).ops)
+		return nil, nil
+	})
+	return ops, err
+}
+
+// replicas returns the IDs of a partition's replicas in a view.
+func replicas(view *fleet.View, id partition.ID) []structs.HostID {
+	var ids []structs.HostID
+	for _, host := range partition.NewTable(view).Replicas(id) {
+		ids = append(ids, host.ID)
+	}
+	return ids
+}
+
+// TestOlderViewIsRefused guards against a backup in a newer view that acknowledges
+// an operation of an older one, and against an operation that is lost when the owner
+// catches up.
+func TestOlderViewIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, 3)
+		first, second := viewWith(1, 0, 1, 2), viewWith(2, 0, 1, 2)
+		s.set(first, "h1", "h2", "h3")
+		hosts := replicas(first, 9)
+		is.NoErr(s.propose(hosts[0], 9, "a", time.Second))
+		s.set(second, hosts[1])
+		is.Equal(s.propose(hosts[0], 9, "b", 3*time.Second), partition.ErrUncertain)
+		var reply partition.CodesReply
+		request := partition.ReplicateRequest{
+			From:  partition.Sender{Host: hosts[0], Incarnation: stageHost(int(hosts[0][1] - '1')).Incarnation, View: first.Number},
+			Items: []partition.ReplicateItem{{ID: 9, Activated: first.Number, First: 3, Ops: [][]byte{[]byte("c")}}},
+		}
+		is.NoErr(partition.NewService(s.managers[hosts[1]]).Replicate(&request, &reply))
+		is.Equal(reply.Codes, []partition.Code{partition.CodeOldView})
+		s.set(second, hosts[0], hosts[2])
+		ops, err := s.read(hosts[0], 9, time.Second)
+		is.NoErr(err)
+		is.Equal(ops, []string{"a", "b"})
+	})
+}
+
+// TestServesOnlyWithAllBackups guards against an owner that serves, even reads, before
+// all backups have its state.
+func TestServesOnlyWithAllBackups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, 3)
+		view := viewWith(1, 0, 1, 2)
+		hosts := replicas(view, 9)
+		s.network.CutBoth(stageIP(hosts[0]), stageIP(hosts[2]))
+		s.set(view, "h1", "h2", "h3")
+		is.Equal(s.propose(hosts[0], 9, "a", 5*time.Second), partition.ErrNotReady)
+		_, err := s.read(hosts[0], 9, 5*time.Second)
+		is.Equal(err, partition.ErrNotReady)
+		s.network.Restore(stageIP(hosts[0]), stageIP(hosts[2]))
+		is.NoErr(s.propose(hosts[0], 9, "a", 5*time.Second))
+	})
+}
+
+// TestRejoinDropsCopies guards against a host that was evicted and joins again with
+// copies of its earlier incarnation.
+func TestRejoinDropsCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, 4)
+		first := viewWith(1, 0, 1, 2, 3)
+		s.set(first, "h1", "h2", "h3", "h4")
+		id := partition.ID(9)
+		hosts := replicas(first, id)
+		is.NoErr(s.propose(hosts[0], id, "a", time.Second))
+		back := viewWith(3, 0, 1, 2, 3)
+		for i := range back.Hosts {
+			if back.Hosts[i].ID == hosts[1] {
+				back.Hosts[i].Incarnation = 103
+			}
+		}
+		s.network.CutBoth(stageIP(hosts[0]), stageIP(hosts[1]))
+		s.set(back, hosts[1], hosts[0])
+		request := partition.FetchRequest{From: partition.Sender{Host: hosts[0], Incarnation: stageHost(int(hosts[0][1] - '1')).Incarnation, View: back.Number}, IDs: []partition.ID{id}}
+		var reply partition.FetchReply
+		is.NoErr(partition.NewService(s.managers[hosts[1]]).Fetch(&request, &reply))
+		is.Equal(reply.Code, partition.CodeOK)
+		is.Equal(len(reply.Copies), 0)
+	})
+}
+
+// TestFormerReplicaAsks guards against a host that becomes the owner again and takes
+// its own old copy for the newest.
+func TestFormerReplicaAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStage(t, 4)
+		first := viewWith(1, 0, 1, 2)
+		second := viewWith(2, 0, 1, 2, 3)
+		// The third replica of the first view makes room for the new host h4.
+		id := partition.ID(0)
+		for !slices.Equal(replicas(first, id)[:2], replicas(second, id)[:2]) || replicas(second, id)[2] != "h4" {
+			id++
+		}
+		former, owner := replicas(first, id)[2], replicas(first, id)[0]
+		s.set(first, "h1", "h2", "h3")
+		is.NoErr(s.propose(owner, id, "a", time.Second))
+		s.network.CutBoth(stageIP(owner), stageIP(former))
+		s.set(second, "h1", "h2", "h3", "h4")
+		is.NoErr(s.propose(owner, id, "b", 2*time.Second))
+		s.network.Restore(stageIP(owner), stageIP(former))
+		// The owner drains and the others are gone, so the former replica takes over.
+		third := &fleet.View{Number: second.Number + 1}
+		for _, host := range second.Hosts {
+			host.Leaving = host.ID == owner
+			if host.ID == owner || host.ID == former {
+				third.Hosts = append(third.Hosts, host)
+			}
+		}
+		s.set(third, owner, former)
+		ops, err := s.read(former, id, 5*time.Second)
+		is.NoErr(err)
+		is.Equal(ops, []string{"a", "b"})
+		is.Equal(s.propose(owner, id, "c", time.Second), partition.ErrNotOwner)
+		time.Sleep(2 * time.Second)
+		is.True(s.managers[owner].HandedOver())
+	})
+}
