--- a/internal/fleet/fleettest/log.go
+++ b/internal/fleet/fleettest/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"testing"
 	"time"
 
 	"cowslipgw/internal/logservice"
@@ -69,6 +70,14 @@
 	return l.keptLocked(stream)
 }
 
+// Append adds a record to a stream, as an operator's edit does.
+func (f *Fleet) Append(t testing.TB, stream, id string) {
+	t.Helper()
+	if _, err := f.Log.append("", stream, id, nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (l *Log) keptLocked(stream string) []logservice.Record {
 	records := l.streams[stream]
 	if first := l.first[stream]; first > 1 {
--- a/internal/fleet/freshness.go
+++ b/internal/fleet/freshness.go
@@ -7,6 +7,8 @@
 
 // Freshness is what a host knows about the age of its records at one moment.
 type Freshness struct {
+	// Member means that this host is in the view as it knows it.
+	Member bool
 	// Read is the time since this host read the log to its end.
 	Read time.Duration
 	// Peers are the latest reports of other hosts.
@@ -46,9 +48,9 @@
 // Current reports whether the host is current by the rules (a), (b) and (c) of
 // docs/design.md, section 5.6. For (c), a host that has peers must have heard from
 // at least one of them: in a fleet of two, the one silent host would otherwise be
-// all of the others.
+// all of the others. A host that has not joined yet knows nothing of the others.
 func (f Freshness) Current() bool {
-	return f.Known() <= FreshFor || f.outage()
+	return f.Known() <= FreshFor || (f.Member && f.outage())
 }
 
 // outage is rule (c): nobody can reach the log.
--- a/internal/fleet/member_freshness.go
+++ b/internal/fleet/member_freshness.go
@@ -17,6 +17,7 @@
 	offsets := m.offsets()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	freshness.Member = m.incarnation != 0
 	for _, report := range m.hearsay.peers {
 		included := true
 		for stream, offset := range report.offsets {
--- a/internal/fleet/member_test.go
+++ b/internal/fleet/member_test.go
@@ -1,13 +1,16 @@
 package fleet_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cowslipgw/internal/fleet"
 	"cowslipgw/internal/fleet/fleettest"
+	"cowslipgw/internal/structs"
 )
 
 // TestTwoDeadHostsAreEvicted guards against dead hosts that stay in the view.
@@ -73,3 +76,143 @@
 		is.True(f.Evicted(f.Hosts[2].ID) <= 5)
 	})
 }
+
+// TestHostCutFromLog guards against a host that loses touch with the log and then
+// misses records or stops to be current, although its peers have them.
+func TestHostCutFromLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleettest.New(t)
+		f.Start(t, 12)
+		cut := f.Hosts[4]
+		f.Log.SetCut(cut.ID, true)
+		f.Append(t, fleettest.ListsStream, "edit")
+		time.Sleep(4 * time.Second)
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			is.True(cut.Member.Current(time.Now()))
+		}
+		is.Equal(cut.Lists.Len(), 1)
+		f.Hosts[7].Kill()
+		f.Await(t, 8*time.Second, 11)
+	})
+}
+
+// TestLogDownKeepsCurrent guards against an outage of the log that stops all hosts,
+// and against hosts that evict each other after it.
+func TestLogDownKeepsCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleettest.New(t)
+		f.Start(t, 12)
+		f.Log.SetDown(true)
+		stale := make(map[structs.HostID]time.Duration)
+		for range 300 {
+			time.Sleep(200 * time.Millisecond)
+			for _, h := range f.Hosts {
+				if !h.Member.Current(time.Now()) {
+					stale[h.ID] += 200 * time.Millisecond
+				}
+			}
+		}
+		for id, total := range stale {
+			if total > 5*time.Second {
+				t.Errorf("%s was not current for %v of an outage", id, total)
+			}
+		}
+		f.Log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		f.Await(t, time.Second, 12)
+		for _, h := range f.Hosts {
+			is.Equal(f.Evicted(h.ID), 0)
+		}
+	})
+}
+
+// TestHostCutFromAll guards against a host that takes itself for current while it is
+// cut off from the log and from its peers.
+func TestHostCutFromAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleettest.New(t)
+		f.Start(t, 6)
+		cut := f.Hosts[1]
+		f.Log.SetCut(cut.ID, true)
+		cut.CutPeers(true)
+		time.Sleep(6500 * time.Millisecond)
+		is.True(!cut.Member.Current(time.Now()))
+		time.Sleep(time.Minute)
+		is.True(!cut.Member.Current(time.Now()))
+		cut.CutPeers(false)
+		time.Sleep(time.Millisecond)
+		is.True(!cut.Member.Current(time.Now()))
+		f.Log.SetCut(cut.ID, false)
+		time.Sleep(40 * time.Second)
+		f.Await(t, time.Second, 6)
+		is.True(cut.Member.Current(time.Now()))
+	})
+}
+
+// TestTrim guards against a host that joins after the log was trimmed and sees
+// another fleet, and against missing snapshots.
+func TestTrim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleettest.New(t)
+		f.Retention = 4 * time.Minute
+		f.Start(t, 5)
+		time.Sleep(2 * time.Minute)
+		var snapshot structs.Offset
+		for _, record := range f.Log.Records(fleet.Stream) {
+			decoded, err := fleet.DecodeRecord(record.Data)
+			is.NoErr(err)
+			if decoded.Kind == fleet.KindSnapshot {
+				snapshot = record.Offset
+			}
+		}
+		is.True(snapshot > 0)
+		f.Log.Trim(fleet.Stream, snapshot)
+		f.Start(t, 1)
+		want := f.Hosts[0].Member.View()
+		is.Equal(f.Hosts[5].Member.View(), want)
+		_, fromStart := f.Hosts[5].Member.Recent()
+		is.True(!fromStart)
+	})
+}
+
+// TestLeave guards against a planned stop that is taken for a failure or that leaves
+// the host in the view.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleettest.New(t)
+		f.Start(t, 5)
+		h := f.Hosts[3]
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		is.NoErr(h.Member.Leave(ctx))
+		host, found := h.Member.View().Find(h.ID)
+		is.True(found && host.Leaving)
+		time.Sleep(30 * time.Second)
+		is.Equal(len(f.Hosts[0].Member.View().Hosts), 5)
+		ctx, cancel = context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		is.NoErr(h.Member.Left(ctx))
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.Hosts[0].Member.View().Hosts), 4)
+		is.Equal(f.Evicted(h.ID), 0)
+	})
+}
+
+// TestDomainFails guards against a fleet that does not evict a failure domain which
+// is lost as a whole.
+func TestDomainFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleettest.New(t)
+		f.Start(t, 12)
+		for i := 0; i < 12; i += 3 {
+			f.Hosts[i].Kill()
+		}
+		f.Await(t, 20*time.Second, 8)
+	})
+}
--- /dev/null
+++ b/internal/fleet/state_test.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cowslipgw/internal/logservice"
+	"cowslipgw/internal/structs"
+)
+
+// stream builds records with offsets from 1.
+type stream struct {
+	records []logservice.Record
+}
+
+func (s *stream) add(id string, r Record) structs.Offset {
+	data, err := r.Encode()
+	if err != nil {
+		panic(err)
+	}
+	offset := structs.Offset(len(s.records) + 1)
+	s.records = append(s.records, logservice.Record{Offset: offset, ID: id, Data: data})
+	return offset
+}
+
+func (s *stream) join(id string) structs.Offset {
+	host := Host{ID: structs.HostID(id), Domain: structs.Domain("d" + id[len(id)-1:])}
+	return s.add(fmt.Sprintf("join/%s/%d", id, len(s.records)), Record{Kind: KindJoin, Host: &host})
+}
+
+func (s *stream) about(kind Kind, target string, incarnation structs.Incarnation, by string, byIncarnation structs.Incarnation) {
+	s.add(fmt.Sprintf("%s/%d", kind, len(s.records)), Record{
+		Kind: kind, Target: structs.HostID(target), TargetIncarnation: incarnation,
+		By: structs.HostID(by), ByIncarnation: byIncarnation,
+	})
+}
+
+func fold(records []logservice.Record) *State {
+	state := NewState()
+	for _, record := range records {
+		state.Fold(record)
+	}
+	return state
+}
+
+func ids(view *View) []structs.HostID {
+	var all []structs.HostID
+	for _, host := range view.Hosts {
+		all = append(all, host.ID)
+	}
+	return all
+}
+
+// TestFoldDuplicates guards against a retried join that gives a host a second
+// incarnation.
+func TestFoldDuplicates(t *testing.T) {
+	is := is.New(t)
+	var s stream
+	host := Host{ID: "a"}
+	s.add("same", Record{Kind: KindJoin, Host: &host})
+	s.add("same", Record{Kind: KindJoin, Host: &host})
+	s.add("odd", Record{Kind: "strange"})
+	s.records = append(s.records, logservice.Record{Offset: 4, ID: "broken", Data: []byte("{")})
+	state := fold(s.records)
+	is.Equal(state.View(), &View{Number: 1, Hosts: []Host{{ID: "a", Incarnation: 1}}})
+	is.Equal(state.Offset(), structs.Offset(4))
+}
+
+// TestFoldEvicts guards against evictions by too few hosts, by hosts that are gone,
+// and for an earlier incarnation, and against missing ones.
+func TestFoldEvicts(t *testing.T) {
+	is := is.New(t)
+	var s stream
+	for _, id := range []string{"a", "b", "c", "d"} {
+		s.join(id)
+	}
+	s.about(KindSuspect, "d", 4, "a", 1)
+	s.about(KindSuspect, "d", 4, "a", 1)
+	s.about(KindSuspect, "d", 3, "b", 2)
+	s.about(KindSuspect, "d", 4, "b", 9)
+	is.Equal(len(fold(s.records).View().Hosts), 4)
+	s.about(KindClear, "d", 4, "a", 1)
+	s.about(KindSuspect, "d", 4, "b", 2)
+	is.Equal(len(fold(s.records).View().Hosts), 4)
+	s.about(KindSuspect, "d", 4, "c", 3)
+	state := fold(s.records)
+	is.Equal(ids(state.View()), []structs.HostID{"a", "b", "c"})
+	is.Equal(state.View().Number, structs.ViewNumber(len(s.records)))
+}
+
+// TestFoldSmallFleets guards against a fleet of two that cannot evict, and against a
+// host that is evicted on the word of one of two others.
+func TestFoldSmallFleets(t *testing.T) {
+	is := is.New(t)
+	var two, three stream
+	two.join("a")
+	two.join("b")
+	two.about(KindSuspect, "b", 2, "a", 1)
+	two.about(KindSuspect, "a", 1, "b", 2)
+	is.Equal(ids(fold(two.records).View()), []structs.HostID{"a"})
+	for _, id := range []string{"a", "b", "c"} {
+		three.join(id)
+	}
+	three.about(KindSuspect, "c", 3, "a", 1)
+	is.Equal(len(fold(three.records).View().Hosts), 3)
+}
+
+// randomStream draws records about up to eight hosts.
+func randomStream(t *rapid.T) []logservice.Record {
+	var s stream
+	incarnations := make(map[string]structs.Incarnation)
+	kinds := []Kind{KindJoin, KindJoin, KindSuspect, KindSuspect, KindSuspect, KindClear, KindLeaving, KindLeft}
+	host := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f", "g", "h"})
+	for range rapid.IntRange(10, 80).Draw(t, "length") {
+		kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+		target := host.Draw(t, "target")
+		by := host.Draw(t, "by")
+		if kind == KindJoin {
+			incarnations[target] = s.join(target)
+			continue
+		}
+		s.about(kind, target, incarnations[target], by, incarnations[by])
+	}
+	return s.records
+}
+
+// TestSnapshotEqualsFold guards against hosts that start from a snapshot and see
+// another fleet than those that read all records.
+func TestSnapshotEqualsFold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := randomStream(t)
+		taken := rapid.IntRange(1, len(records)).Draw(t, "taken")
+		placed := rapid.IntRange(taken, len(records)).Draw(t, "placed")
+		snapshot := fold(records[:taken]).Snapshot()
+		var all stream
+		all.records = append(all.records, records[:placed]...)
+		all.add("snapshot", Record{Kind: KindSnapshot, Snapshot: &snapshot})
+		for _, record := range records[placed:] {
+			record.Offset++
+			all.records = append(all.records, record)
+		}
+		want := fold(all.records)
+		first := rapid.IntRange(1, taken+1).Draw(t, "first")
+		late := NewState()
+		late.Trimmed(structs.Offset(first))
+		for _, record := range all.records[first-1:] {
+			late.Fold(record)
+		}
+		if !late.Ready() {
+			t.Fatal("the snapshot was not taken")
+		}
+		if diff := cmp.Diff(want.Snapshot(), late.Snapshot()); diff != "" {
+			t.Fatalf("the states differ:\n%s", diff)
+		}
+	})
+}
+
+// TestSnapshotWithGap guards against a reader that takes a snapshot although it lacks
+// records after it.
+func TestSnapshotWithGap(t *testing.T) {
+	is := is.New(t)
+	var s stream
+	s.join("a")
+	old := fold(s.records).Snapshot()
+	s.join("b")
+	s.join("c")
+	s.add("snapshot", Record{Kind: KindSnapshot, Snapshot: &old})
+	late := NewState()
+	late.Trimmed(3)
+	late.Fold(s.records[2])
+	late.Fold(s.records[3])
+	is.True(!late.Ready())
+	now := fold(s.records).Snapshot()
+	s.add("snapshot/2", Record{Kind: KindSnapshot, Snapshot: &now})
+	effect := late.Fold(s.records[4])
+	is.True(late.Ready())
+	is.True(effect.Jumped)
+	is.Equal(ids(effect.View), []structs.HostID{"a", "b", "c"})
+}
+
+// TestWatchersSpread guards against hosts whose watchers share a failure domain.
+func TestWatchersSpread(t *testing.T) {
+	is := is.New(t)
+	var hosts []Host
+	for i := range 12 {
+		hosts = append(hosts, Host{ID: structs.HostID(fmt.Sprintf("h%02d", i)), Domain: structs.Domain(fmt.Sprint(i % 3))})
+	}
+	for _, host := range hosts {
+		watchers, voters := Watchers(hosts, host.ID, func(structs.HostID) bool { return false })
+		is.Equal(len(watchers), maxWatchers)
+		is.Equal(watchers, voters)
+		domains := make(map[structs.Domain]int)
+		for _, id := range watchers {
+			for _, watcher := range hosts {
+				if watcher.ID == id {
+					domains[watcher.Domain]++
+				}
+			}
+			is.True(id != host.ID)
+		}
+		is.Equal(len(domains), 3)
+		for _, count := range domains {
+			is.Equal(count, 2)
+		}
+	}
+}
+
+// TestSnapshotSize reports the size of a snapshot record at the target scale and
+// guards against one that a log would refuse as too large (64 KiB per 100 hosts).
+func TestSnapshotSize(t *testing.T) {
+	is := is.New(t)
+	state := NewState()
+	for i := range 350 {
+		host := Host{ID: structs.HostID(fmt.Sprintf("host-%03d", i)), Region: "region-a", Domain: "domain-a", EntryAddress: "10.100.100.100:443", ControlAddress: "10.100.100.100:7000"}
+		data, err := Record{Kind: KindJoin, Host: &host}.Encode()
+		is.NoErr(err)
+		state.Fold(logservice.Record{Offset: structs.Offset(i + 1), ID: fmt.Sprint(i), Data: data})
+	}
+	data, err := json.Marshal(state.Snapshot())
+	is.NoErr(err)
+	t.Logf("%d bytes at 350 hosts", len(data))
+	is.True(len(data) < 224<<10)
+}
--- a/internal/partition/cluster_test.go
+++ b/internal/partition/cluster_test.go
@@ -38,10 +38,20 @@
 	mu       sync.Mutex
 	managers map[*fleettest.Host]*partition.Manager
 	lost     map[partition.ID]int
+	machine  func(partition.ID) partition.Machine
 }
 
 func newCluster(t testing.TB, hosts int) *cluster {
+	return newClusterOf(t, hosts, func(partition.ID) partition.Machine { return &journal{} })
+}
+
+func newNullCluster(t testing.TB, hosts int) *cluster {
+	return newClusterOf(t, hosts, func(partition.ID) partition.Machine { return null{} })
+}
+
+func newClusterOf(t testing.TB, hosts int, machine func(partition.ID) partition.Machine) *cluster {
 	c := &cluster{
+		machine:  machine,
 		Fleet:    fleettest.New(t),
 		managers: make(map[*fleettest.Host]*partition.Manager),
 		lost:     make(map[partition.ID]int),
@@ -56,7 +66,7 @@
 	manager := partition.NewManager(partition.Config{
 		Views:  h.Member,
 		Caller: h.Client,
-		New:    func(partition.ID) partition.Machine { return &journal{} },
+		New:    c.machine,
 		Lost: func(id partition.ID, _ partition.Machine) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
--- a/internal/partition/recovery.go
+++ b/internal/partition/recovery.go
@@ -119,6 +119,7 @@
 	surveys := make(map[ID]*survey)
 	for _, id := range ids {
 		if v.takeOwn(id) {
+			v.noteFormer(id)
 			ready = append(ready, id)
 			continue
 		}
--- a/internal/partition/recovery_state.go
+++ b/internal/partition/recovery_state.go
@@ -59,6 +59,21 @@
 	}
 }
 
+// noteFormer remembers the hosts that were replicas in the view before and are not
+// any more, so that a host which drains need not ask.
+func (v *recovery) noteFormer(id ID) {
+	if len(v.history) < 2 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, host := range v.history[len(v.history)-2].Replicas(id) {
+		if !v.table.Holds(id, host.ID) {
+			v.release[host.ID] = append(v.release[host.ID], id)
+		}
+	}
+}
+
 // adoptOwn takes this host's own copy, or an empty one, as the newest.
 func (v *recovery) adoptOwn(s *survey, forced bool) bool {
 	r := v.m.replicas[s.id]
