--- a/internal/fleet/fleettest/fleet.go
+++ b/internal/fleet/fleettest/fleet.go
@@ -15,7 +15,8 @@
 type Fleet struct {
 	Log     *Log
 	Network *transport.Memory
-	Hosts   []*Host
+	// Hosts are replaced by Restart. Live is safe to call meanwhile.
+	Hosts []*Host
 	// Domains is the number of failure domains.
 	Domains   int
 	Retention time.Duration
@@ -55,7 +56,10 @@
 func (f *Fleet) Start(t testing.TB, count int) {
 	t.Helper()
 	for range count {
-		f.Hosts = append(f.Hosts, f.start(t, len(f.Hosts)))
+		h := f.start(t, len(f.Hosts))
+		f.mu.Lock()
+		f.Hosts = append(f.Hosts, h)
+		f.mu.Unlock()
 	}
 	f.Await(t, 10*time.Second, len(f.Hosts))
 }
@@ -64,7 +68,10 @@
 // address.
 func (f *Fleet) Restart(t testing.TB, index int) {
 	t.Helper()
-	f.Hosts[index] = f.start(t, index)
+	h := f.start(t, index)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Hosts[index] = h
 }
 
 func (f *Fleet) start(t testing.TB, index int) *Host {
@@ -101,21 +108,17 @@
 
 // Live returns the hosts that were not killed.
 func (f *Fleet) Live() []*Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var live []*Host
 	for _, h := range f.Hosts {
-		if !h.killed() {
+		if !h.dead {
 			live = append(live, h)
 		}
 	}
 	return live
 }
 
-func (h *Host) killed() bool {
-	h.fleet.mu.Lock()
-	defer h.fleet.mu.Unlock()
-	return h.dead
-}
-
 // Evicted is how often the host found itself evicted.
 func (f *Fleet) Evicted(id structs.HostID) int {
 	f.mu.Lock()
--- a/internal/fleet/member_test.go
+++ b/internal/fleet/member_test.go
@@ -216,3 +216,21 @@
 		f.Await(t, 20*time.Second, 8)
 	})
 }
+
+// TestReplacedHostStaysOut guards against two processes under one ID that evict each
+// other by turns.
+func TestReplacedHostStaysOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := fleettest.New(t)
+		f.Start(t, 4)
+		old := f.Hosts[1]
+		defer old.Kill()
+		f.Restart(t, 1)
+		time.Sleep(time.Minute)
+		is.Equal(old.Member.Incarnation(), structs.Incarnation(0))
+		is.True(f.Hosts[1].Member.Incarnation() > 0)
+		is.Equal(f.Evicted(old.ID), 1)
+		is.Equal(len(f.Log.Records(fleet.Stream)), 5)
+	})
+}
--- a/internal/partition/propose.go
+++ b/internal/partition/propose.go
@@ -16,7 +16,8 @@
 // Propose runs decide at this host and returns when every backup of the view has
 // acknowledged the operation. Without an operation it returns when those that
 // decide could see are acknowledged, so that nothing is reported which a change of
-// the owner could undo.
+// the owner could undo. An owner that was replaced and has not noticed may still
+// answer from its old state when there is no operation.
 func (m *Manager) Propose(ctx context.Context, id ID, decide Decide) error {
 	r := m.replicas[id]
 	for {
--- a/internal/partition/release.go
+++ b/internal/partition/release.go
@@ -78,7 +78,8 @@
 }
 
 // HandedOver reports whether this host leaves, or is not in the view, and holds
-// nothing that another host may still need.
+// nothing that another host may still need. It stays false while no other host takes
+// partitions, so a drain needs a limit of its own.
 func (m *Manager) HandedOver() bool {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
