Place new programs by memory in use as well as by load

Idea: programs stay where they start, so replicas whose programs grow large evict caches that are needed again while others have room. The replica of a new program is the one with the least calls/limit + 0.5 * memory/limit.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -130,6 +130,7 @@
 		report := sched.Replica{
 			ID: r.engine.id, Reported: true, ReportedAt: c.sim.now,
 			Running: len(r.engine.running), Queued: len(r.engine.queue), Slots: c.deployment.Engine.Slots,
+			CacheTokens: r.engine.cache.used, CacheLimit: c.deployment.Engine.CacheTokens,
 			Programs: r.engine.cache.programs(),
 		}
 		c.sim.after(c.scenario.lag(), func() {
--- a/internal/bench/policy_settings.go
+++ b/internal/bench/policy_settings.go
@@ -19,6 +19,7 @@
 		"output-cost":  func(v float64) { s.OutputCost = v },
 		"load-bound":   func(v float64) { s.LoadBound = v },
 		"hold":         func(v float64) { s.Hold = v },
+		"memory":       func(v float64) { s.MemoryWeight = v },
 		"prefix-slack": func(v float64) { s.PrefixSlack = int(v) },
 		"first-token":  func(v float64) { s.FirstToken = milliseconds(v) },
 		"inter-token":  func(v float64) { s.InterToken = milliseconds(v) },
--- a/internal/dispatch/pool_snapshot.go
+++ b/internal/dispatch/pool_snapshot.go
@@ -70,6 +70,7 @@
 	info.ReportedAt = min(load.At.Sub(p.start), p.now())
 	info.Leaving = info.Leaving || load.Leaving
 	info.Running, info.Queued, info.Slots = load.Running, load.Queued, load.Slots
+	info.CacheTokens, info.CacheLimit = load.CacheTokens, load.CacheLimit
 	info.Programs = p.reports.programs(replica.ID, load)
 	info.Models = load.Models
 	return info
--- a/internal/sched/feasible.go
+++ b/internal/sched/feasible.go
@@ -17,7 +17,9 @@
 		total += load
 		live++
 		if f.admits(info, state, load, now) {
-			f.candidates = append(f.candidates, candidate{id: info.ID, info: info, state: state, load: load})
+			f.candidates = append(f.candidates, candidate{
+				id: info.ID, info: info, state: state, load: load, pressure: f.pressure(info, load),
+			})
 		}
 	}
 	if live == 0 {
--- a/internal/sched/replica.go
+++ b/internal/sched/replica.go
@@ -19,6 +19,9 @@
 	Running, Queued int
 	// Slots is how many calls the replica runs at once; 0 if not known.
 	Slots int
+	// CacheTokens of CacheLimit are in use for running calls and cached prompts; CacheLimit
+	// is 0 if not known.
+	CacheTokens, CacheLimit int64
 	// Programs holds the programs with cache at the replica; nil if not known.
 	Programs map[uint64]struct{}
 	// Models lists what is loaded; nil if not known.
--- a/internal/sched/replica_state.go
+++ b/internal/sched/replica_state.go
@@ -123,4 +123,6 @@
 	info  *Replica
 	state *replicaState
 	load  int
+	// pressure is how full the replica is, for programs that may start anywhere.
+	pressure float64
 }
--- a/internal/sched/select.go
+++ b/internal/sched/select.go
@@ -69,16 +69,16 @@
 	if best == nil {
 		return nil, false
 	}
-	if withPrefix != nil && withPrefix.load <= best.load+f.settings.PrefixSlack {
+	if withPrefix != nil && withPrefix.pressure <= best.pressure+f.prefixSlack() {
 		return withPrefix, true
 	}
 	return best, true
 }
 
-// lighter compares two candidates by load, then by prefill backlog, then by ID.
+// lighter compares two candidates by pressure, then by prefill backlog, then by ID.
 func (f *Fair) lighter(a, b *candidate) bool {
-	if a.load != b.load {
-		return a.load < b.load
+	if a.pressure != b.pressure {
+		return a.pressure < b.pressure
 	}
 	if a.state.prefillUntil != b.state.prefillUntil {
 		return a.state.prefillUntil < b.state.prefillUntil
@@ -86,6 +86,22 @@
 	return a.id < b.id
 }
 
+// prefixSlack is PrefixSlack in units of pressure.
+func (f *Fair) prefixSlack() float64 {
+	return float64(f.settings.PrefixSlack) / float64(f.settings.MaxInFlight)
+}
+
+// pressure is how full a replica is: calls relative to the limit, and memory in use
+// relative to its limit times MemoryWeight. Programs stay where they start, so a
+// replica that is short of memory evicts what its programs need again.
+func (f *Fair) pressure(info *Replica, load int) float64 {
+	pressure := float64(load) / float64(f.settings.MaxInFlight)
+	if info.CacheLimit > 0 {
+		pressure += f.settings.MemoryWeight * float64(info.CacheTokens) / float64(info.CacheLimit)
+	}
+	return pressure
+}
+
 // home returns the replica that holds the call's cache; empty for none.
 func (f *Fair) home(call *Call) structs.ReplicaID {
 	if call.Program != 0 {
--- a/internal/sched/settings.go
+++ b/internal/sched/settings.go
@@ -27,6 +27,9 @@
 	// Hold is how long a call waits for the replica with its cache before it moves, as a
 	// multiple of the time to compute the cache again.
 	Hold float64
+	// MemoryWeight is how much a replica's share of memory in use counts beside its share
+	// of calls in flight when a program is placed.
+	MemoryWeight float64
 	// PrefixSlack is how much more load, in calls, a replica may have than the least
 	// loaded one and still be chosen for a shared prefix.
 	PrefixSlack int
@@ -36,15 +39,16 @@
 // measurements behind them.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxInFlight: 16,
-		FirstToken:  510 * time.Millisecond,
-		InterToken:  61 * time.Millisecond,
-		PrefillRate: 12000,
-		AgeingRate:  1000,
-		CachedCost:  0,
-		OutputCost:  30,
-		LoadBound:   2,
-		Hold:        1,
-		PrefixSlack: 1,
+		MaxInFlight:  16,
+		FirstToken:   510 * time.Millisecond,
+		InterToken:   61 * time.Millisecond,
+		PrefillRate:  12000,
+		AgeingRate:   1000,
+		CachedCost:   0,
+		OutputCost:   30,
+		LoadBound:    2,
+		MemoryWeight: 0.5,
+		Hold:         1,
+		PrefixSlack:  1,
 	}
 }
