Hold for a program's replica three times as long as computing anew

Idea: a call that moves adds its prefill to a busy pool, which slows the others; waiting longer costs only the call. Hold 1 -> 3 times the time to compute the cache again.

--- a/internal/sched/settings.go
+++ b/internal/sched/settings.go
@@ -48,7 +48,7 @@
 		OutputCost:   30,
 		LoadBound:    2,
 		MemoryWeight: 0.5,
-		Hold:         1,
+		Hold:         3,
 		PrefixSlack:  1,
 	}
 }
