Place a program anew whose cache was evicted

Idea: a program that waited long for a person may have lost its cache at a replica short of memory; going back there evicts others. When a report newer than its last call does not list it, it is placed like a new program.

--- a/internal/sched/select.go
+++ b/internal/sched/select.go
@@ -10,7 +10,7 @@
 // waits, because no candidate fits or because it holds for the replica with its
 // cache.
 func (f *Fair) selectReplica(r rankedCall, snapshot Snapshot, candidates []candidate, mean float64, now time.Duration) (*candidate, bool) {
-	if r.home != "" {
+	if r.home != "" && f.cacheRemains(r, snapshot) {
 		for i := range candidates {
 			c := &candidates[i]
 			if c.id == r.home && f.withinBound(c.load, mean) {
@@ -24,6 +24,14 @@
 	return f.leastLoaded(r.call, candidates)
 }
 
+// cacheRemains says whether the home still holds the program's cache, as far as
+// reports tell. A program whose cache was evicted is placed like a new one.
+func (f *Fair) cacheRemains(r rankedCall, snapshot Snapshot) bool {
+	info := snapshot.find(r.home)
+	h, known := f.homes.get(r.call.Program)
+	return info == nil || !known || h.replica != r.home || h.heldAt(r.call.Program, info)
+}
+
 // withinBound says whether a replica may take one more call of a program that has
 // its cache there.
 func (f *Fair) withinBound(load int, mean float64) bool {
