Never return a call to the replica that failed it

Fault: a program's own replica was chosen without a look at the call's excluded replicas and model, so a retried call went back to the replica that had failed it for as long as the host list showed it. Found by reading; the property test drew no holders and missed it. The test draws holders now and fails without the change.

--- a/internal/sched/fair_test.go
+++ b/internal/sched/fair_test.go
@@ -41,6 +41,9 @@
 			c.Exclude = append(c.Exclude, r.ID)
 		}
 	}
+	if rapid.Bool().Draw(t, "held") {
+		c.Holders = []structs.ReplicaID{rapid.SampledFrom(s.Replicas).Draw(t, "holder").ID}
+	}
 	return c
 }
 
--- a/internal/sched/replica_state.go
+++ b/internal/sched/replica_state.go
@@ -126,3 +126,8 @@
 	// pressure is how full the replica is, for programs that may start anywhere.
 	pressure float64
 }
+
+// fits says whether the call may run on the replica at all.
+func (c *candidate) fits(call *Call) bool {
+	return !call.excludes(c.id) && c.info.serves(call.Model)
+}
--- a/internal/sched/select.go
+++ b/internal/sched/select.go
@@ -13,7 +13,7 @@
 	if r.home != "" && f.cacheRemains(r, snapshot) {
 		for i := range candidates {
 			c := &candidates[i]
-			if c.id == r.home && f.withinBound(c.load, mean) {
+			if c.id == r.home && c.fits(r.call) && f.withinBound(c.load, mean) {
 				return c, true
 			}
 		}
@@ -61,7 +61,7 @@
 	var best, withPrefix *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if call.excludes(c.id) || !c.info.serves(call.Model) {
+		if !c.fits(call) {
 			continue
 		}
 		if best == nil || f.lighter(c, best) {
