--- /dev/null
+++ b/cmd/cowslipgw/check.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"cowslipgw/internal/settings"
+)
+
+// check reports the faults of a host's settings file or of the operators' two lists.
+func check(_ context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("check", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	config := flags.String("config", "", "settings `FILE` of a host")
+	lists := flags.String("lists", "", "the two lists as `ACCOUNTS,PLANS`")
+	if status, done := parseFlags(flags, args); done {
+		return status
+	}
+	accounts, plans, both := strings.Cut(*lists, ",")
+	switch {
+	case flags.NArg() == 0 && *config != "" && *lists == "":
+		return checkConfig(*config, stdout, stderr)
+	case flags.NArg() == 0 && *config == "" && both:
+		return checkLists(accounts, plans, stderr)
+	default:
+		fmt.Fprintln(stderr, "usage: cowslipgw check -config FILE | -lists ACCOUNTS,PLANS")
+		return exitUsage
+	}
+}
+
+// checkConfig prints the faults of a settings file, or what it sets up.
+func checkConfig(path string, stdout, stderr io.Writer) int {
+	host, faults := settings.Load(path)
+	for _, fault := range faults {
+		fmt.Fprintln(stderr, fault)
+	}
+	if len(faults) > 0 {
+		return exitFault
+	}
+	fmt.Fprintf(stdout, "%s: host %s in failure domain %s of region %s\n", path, host.ID, host.Domain, host.Region)
+	return exitOK
+}
--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -26,7 +26,16 @@
 
 // commands lists the subcommands in the order of the usage text.
 func commands() []command {
-	return []command{benchCommand()}
+	return []command{
+		serveCommand(),
+		devCommand(),
+		{name: "check", summary: "report the faults of a settings file or of the two lists", run: check},
+		{name: "lists", summary: "get, put or show the history of the operators' lists", run: runLists},
+		{name: "key", summary: "make a key for a caller", run: runKey},
+		{name: "status", summary: "show hosts, pools and client accounts", run: runStatus},
+		benchCommand(),
+		{name: "standin", summary: "run stand-ins for the outside systems", run: runStandin},
+	}
 }
 
 func main() {
