--- a/internal/sched/select.go
+++ b/internal/sched/select.go
@@ -10,10 +10,10 @@
 // waits, because no candidate fits or because it holds for the replica with its
 // cache.
 func (f *Fair) selectReplica(r rankedCall, snapshot Snapshot, candidates []candidate, mean float64, now time.Duration) (*candidate, bool) {
-	if r.home != "" {
+	if r.home != "" && f.cacheRemains(r, snapshot) {
 		for i := range candidates {
 			c := &candidates[i]
-			if c.id == r.home && f.withinBound(c.load, mean) {
+			if c.id == r.home && c.fits(r.call) && f.withinBound(c.load, mean) {
 				return c, true
 			}
 		}
@@ -24,6 +24,14 @@
 	return f.leastLoaded(r.call, candidates)
 }
 
+// cacheRemains says whether the home still holds the program's cache, as far as
+// reports tell. A program whose cache was evicted is placed like a new one.
+func (f *Fair) cacheRemains(r rankedCall, snapshot Snapshot) bool {
+	info := snapshot.find(r.home)
+	h, known := f.homes.get(r.call.Program)
+	return info == nil || !known || h.replica != r.home || h.heldAt(r.call.Program, info)
+}
+
 // withinBound says whether a replica may take one more call of a program that has
 // its cache there.
 func (f *Fair) withinBound(load int, mean float64) bool {
@@ -53,7 +61,7 @@
 	var best, withPrefix *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if call.excludes(c.id) || !c.info.serves(call.Model) {
+		if !c.fits(call) {
 			continue
 		}
 		if best == nil || f.lighter(c, best) {
@@ -69,16 +77,16 @@
 	if best == nil {
 		return nil, false
 	}
-	if withPrefix != nil && withPrefix.load <= best.load+f.settings.PrefixSlack {
+	if withPrefix != nil && withPrefix.pressure <= best.pressure+f.prefixSlack() {
 		return withPrefix, true
 	}
 	return best, true
 }
 
-// lighter compares two candidates by load, then by prefill backlog, then by ID.
+// lighter compares two candidates by pressure, then by prefill backlog, then by ID.
 func (f *Fair) lighter(a, b *candidate) bool {
-	if a.load != b.load {
-		return a.load < b.load
+	if a.pressure != b.pressure {
+		return a.pressure < b.pressure
 	}
 	if a.state.prefillUntil != b.state.prefillUntil {
 		return a.state.prefillUntil < b.state.prefillUntil
@@ -86,6 +94,22 @@
 	return a.id < b.id
 }
 
+// prefixSlack is PrefixSlack in units of pressure.
+func (f *Fair) prefixSlack() float64 {
+	return float64(f.settings.PrefixSlack) / float64(f.settings.MaxInFlight)
+}
+
+// pressure is how full a replica is: calls relative to the limit, and memory in use
+// relative to its limit times MemoryWeight. Programs stay where they start, so a
+// replica that is short of memory evicts what its programs need again.
+func (f *Fair) pressure(info *Replica, load int) float64 {
+	pressure := float64(load) / float64(f.settings.MaxInFlight)
+	if info.CacheLimit > 0 {
+		pressure += f.settings.MemoryWeight * float64(info.CacheTokens) / float64(info.CacheLimit)
+	}
+	return pressure
+}
+
 // home returns the replica that holds the call's cache; empty for none.
 func (f *Fair) home(call *Call) structs.ReplicaID {
 	if call.Program != 0 {
