Test order and history under failures; keep them when owners change

A wrapper records what engines get.

Faults found and fixed: - An answer whose call the owner had ended as unknown, after the entry host was evicted while it was cut off, was given to the caller as committed, although it was not in the history. owner.Client.Settle passed over SettleAnswer.Ended. It now returns a problem (not-committed, run: yes). Seen with a host cut from its peers, and from peers and log. - Calls that waited at an owner began in random order at its successor: the queue is not replicated.

A killed host's settlements go on in the test's process, so a site waits for their time at its end.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -148,11 +148,12 @@
 	limits.Idle = h.options.Settings.Limits.ProgramIdle
 	limits.Retention = h.options.Settings.Limits.ClaimRetention
 	h.manager = partition.NewManager(partition.Config{
-		Views:  h.member,
-		Caller: h.controlClient,
-		Logger: h.options.Logger,
-		New:    func(id partition.ID) partition.Machine { return program.New(id, limits) },
-		Lost:   h.partitionLost,
+		Views:     h.member,
+		Caller:    h.controlClient,
+		Logger:    h.options.Logger,
+		New:       func(id partition.ID) partition.Machine { return program.New(id, limits) },
+		Lost:      h.partitionLost,
+		Activated: func(id partition.ID, machine partition.Machine) { h.service.Activated(id, machine) },
 	})
 	h.service = owner.NewService(owner.Options{
 		Proposer: h.manager, Viewer: h.member, Origin: h.origin, Rates: limitsOf(h.store),
--- /dev/null
+++ b/internal/host/load_test.go
@@ -0,0 +1,226 @@
+package host_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cowslipgw/internal/owner"
+	"cowslipgw/internal/partition"
+	"cowslipgw/internal/program"
+	"cowslipgw/internal/structs"
+)
+
+// programLoad runs programs whose callers use one entry host after the other, and
+// remembers what they were answered.
+type programLoad struct {
+	s    *site
+	stop context.CancelFunc
+	done sync.WaitGroup
+
+	mu sync.Mutex
+	// answered are the texts that a caller got a whole answer to, by "account/program".
+	answered map[string][]string
+	// wrong are answers that break a promise to the caller.
+	wrong []string
+}
+
+// turnPause is the tool pause between two turns of a load.
+const turnPause = 150 * time.Millisecond
+
+// addressOf returns the entry address of the i-th host, whether or not it is up.
+func addressOf(i int) string { return fmt.Sprintf("10.0.0.%d:80", i+1) }
+
+// startLoad starts the programs of both accounts; the IDs are the same in both.
+func (s *site) startLoad(programs int) *programLoad {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &programLoad{s: s, stop: stop, answered: make(map[string][]string)}
+	for i := range programs {
+		for j, account := range []string{"clinic", "workshop"} {
+			first := i*2 + j
+			s.key(account)
+			l.done.Go(func() { l.run(ctx, account, fmt.Sprintf("return-%d", i), first) })
+		}
+	}
+	return l
+}
+
+// run makes the turns of one program.
+func (l *programLoad) run(ctx context.Context, account, id string, at int) {
+	name := account + "/" + id
+	for turn := 1; ctx.Err() == nil; turn++ {
+		text := fmt.Sprintf("%s#%d", name, turn)
+		c := l.s.chat(account, id, text)
+		if turn%2 == 0 {
+			c = c.streamed()
+		}
+		l.note(name, text, l.s.callOnce(addressOf((at+turn)%l.s.config.hosts), c))
+		time.Sleep(turnPause)
+	}
+}
+
+// callOnce sends a call to an address within the callers' time.
+func (s *site) callOnce(address string, c call) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	return s.sendTo(ctx, address, c)
+}
+
+// note checks one answer for guarantee 9 and remembers it.
+func (l *programLoad) note(name, text string, got answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	whole, ok := got.whole()
+	switch {
+	case ok && !strings.HasSuffix(whole, "The last user message is: "+text):
+		l.wrong = append(l.wrong, fmt.Sprintf("%s was answered %q", text, whole))
+	case ok:
+		l.answered[name] = append(l.answered[name], text)
+	case got.err == nil && got.failure().Run == "":
+		l.wrong = append(l.wrong, fmt.Sprintf("%s was refused without run: %d %q", text, got.status, got.body))
+	}
+}
+
+// end stops the load and checks that each program remembers all answered turns, in
+// order, at any entry host.
+func (l *programLoad) end(log *engineLog) {
+	l.s.t.Helper()
+	l.stop()
+	l.done.Wait()
+	for _, wrong := range l.wrong {
+		l.s.t.Error(wrong)
+	}
+	for name, answered := range l.answered {
+		account, id, _ := strings.Cut(name, "/")
+		got := l.s.send(len(answered)%l.s.config.hosts, l.s.chat(account, id, name+"#last"))
+		if got.status != 200 {
+			l.s.t.Errorf("last call of %s got %d %s", name, got.status, got.body)
+			continue
+		}
+		l.checkRemembered(log, name, answered)
+	}
+}
+
+func (l *programLoad) checkRemembered(log *engineLog, name string, answered []string) {
+	l.s.t.Helper()
+	for _, c := range slices.Backward(log.all()) {
+		if c.newest() != "user: "+name+"#last" {
+			continue
+		}
+		var remembered []string
+		for _, message := range c.messages {
+			if text, user := strings.CutPrefix(message, "user: "); user && slices.Contains(answered, text) {
+				remembered = append(remembered, text)
+			}
+		}
+		if !slices.Equal(remembered, answered) {
+			l.s.t.Errorf("%s remembers %q of %q", name, remembered, answered)
+		}
+		return
+	}
+	l.s.t.Errorf("the last call of %s did not reach an engine", name)
+}
+
+// count returns how many turns were answered.
+func (l *programLoad) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := 0
+	for _, answered := range l.answered {
+		total += len(answered)
+	}
+	return total
+}
+
+// streamed returns the call with a streamed answer.
+func (c call) streamed() call {
+	c.body = strings.Replace(c.body, `{`, `{"stream":true,`, 1)
+	return c
+}
+
+// tokens returns the chat call with at least so many tokens in the answer.
+func (c call) tokens(least int) call {
+	c.body = strings.Replace(c.body, `"max_tokens":64`, fmt.Sprintf(`"max_tokens":%d,"min_tokens":%d`, max(least, 64), least), 1)
+	return c
+}
+
+// problem is what a caller reads from a refusal or an error event.
+type problem struct {
+	Run   structs.Run `json:"run"`
+	Error struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+// events returns the data of a streamed answer.
+func (a answer) events() []string {
+	var events []string
+	for line := range strings.Lines(a.body) {
+		if data, found := strings.CutPrefix(line, "data: "); found {
+			events = append(events, strings.TrimSpace(data))
+		}
+	}
+	return events
+}
+
+// failure returns the problem of an answer that is not whole.
+func (a answer) failure() problem {
+	text := a.body
+	if events := a.events(); len(events) > 0 {
+		text = events[len(events)-1]
+	}
+	var p problem
+	_ = json.Unmarshal([]byte(text), &p)
+	return p
+}
+
+// whole returns the text of an answer that a caller accepts as whole: a completion, or
+// a stream with a finish reason and the final event.
+func (a answer) whole() (string, bool) {
+	if a.err != nil || a.status != 200 {
+		return "", false
+	}
+	events := a.events()
+	if len(events) == 0 {
+		return a.text(), a.text() != ""
+	}
+	var text strings.Builder
+	finished := false
+	for _, event := range events {
+		var chunk struct {
+			Choices []struct {
+				Delta        struct{ Content string }
+				FinishReason string `json:"finish_reason"`
+			}
+		}
+		if json.Unmarshal([]byte(event), &chunk) == nil && len(chunk.Choices) > 0 {
+			text.WriteString(chunk.Choices[0].Delta.Content)
+			finished = finished || chunk.Choices[0].FinishReason != ""
+		}
+	}
+	return text.String(), finished && events[len(events)-1] == "[DONE]"
+}
+
+// replicasOf returns the indexes of the hosts that hold a program, the owner first.
+func (s *site) replicasOf(account, root string) []int {
+	id := owner.PartitionOfProgram(program.Key{Account: structs.AccountID(account), Root: structs.ProgramID(root)})
+	for i := range s.config.hosts {
+		r := s.host(i)
+		if r == nil || !r.Ready() {
+			continue
+		}
+		var places []int
+		for _, replica := range partition.NewTable(r.View()).Replicas(id) {
+			place := 0
+			_, _ = fmt.Sscanf(string(replica.ID), "host-%d", &place)
+			places = append(places, place-1)
+		}
+		return places
+	}
+	s.t.Fatal("no host is ready")
+	return nil
+}
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -49,6 +49,8 @@
 	delay time.Duration
 	// logTo gets the hosts' events; nil for none.
 	logTo io.Writer
+	// wrap puts a handler in front of each replica; nil for none.
+	wrap func(replica string, next http.Handler) http.Handler
 }
 
 // site is a whole system in one process on an in-memory network and virtual time.
@@ -161,6 +163,9 @@
 	if c.logTo == nil {
 		c.logTo = io.Discard
 	}
+	if c.wrap == nil {
+		c.wrap = func(_ string, next http.Handler) http.Handler { return next }
+	}
 }
 
 // runSite runs a test against a site that serves, in virtual time.
@@ -204,7 +209,7 @@
 		config.ID = id
 		s.engines[id] = engine.New(config)
 		s.closers = append(s.closers, s.engines[id].Close)
-		s.serve(ip, s.engines[id])
+		s.serve(ip, s.config.wrap(id, s.engines[id]))
 		replicas = append(replicas, hostlist.Replica{
 			Pool: s.config.modelPool, ID: id, Address: ip + ":80", Domain: domain(i), State: "live",
 			Kind: "engine", ChecksFence: config.ChecksFence,
@@ -216,7 +221,7 @@
 		config.ID = id
 		s.apps[id] = app.New(config)
 		s.closers = append(s.closers, s.apps[id].Close)
-		s.serve(ip, s.apps[id])
+		s.serve(ip, s.config.wrap(id, s.apps[id]))
 		replicas = append(replicas, hostlist.Replica{
 			Pool: s.config.appPool, ID: id, Address: ip + ":80", Domain: domain(i), State: "live", Kind: "app",
 		})
@@ -389,4 +394,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
+	// A killed host's settlements go on until their time is over; its process would have
+	// taken them along.
+	time.Sleep(settings.Default().Limits.Settle)
 }
--- a/internal/owner/begin.go
+++ b/internal/owner/begin.go
@@ -46,6 +46,14 @@
 		case <-pending.ticket.Ready():
 		case <-again:
 		}
+		again = nil
+		if !pending.ticket.First() {
+			continue
+		}
+		if left := s.takeovers.left(request.Key, request.Call, time.Now()); left > 0 {
+			again = time.After(left)
+			continue
+		}
 		outcome, err := s.decideBegin(ctx, request)
 		if err != nil {
 			// The place is kept: the next question goes on where this one failed.
@@ -56,7 +64,6 @@
 			s.leave(request.Call, pending)
 			return BeginAnswer{Result: outcome.Result}, nil
 		}
-		again = nil
 		if outcome.RetryAfter > 0 {
 			again = time.After(outcome.RetryAfter)
 		}
@@ -79,7 +86,7 @@
 	defer s.mu.Unlock()
 	pending := s.begins[request.Call]
 	if pending == nil {
-		pending = &pendingBegin{ticket: s.waiting.Enter(request.Key)}
+		pending = &pendingBegin{ticket: s.waiting.Enter(request.Key, time.Now().Add(-request.Waited))}
 		s.begins[request.Call] = pending
 	}
 	pending.askers++
--- a/internal/owner/client.go
+++ b/internal/owner/client.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"time"
 
 	"cowslipgw/internal/account"
 	"cowslipgw/internal/program"
+	"cowslipgw/internal/structs"
 )
 
 // Client runs operations of this host at the owners of their partitions.
@@ -37,8 +40,13 @@
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	id := PartitionOfProgram(request.Key)
+	since := time.Now()
+	asking := func() program.BeginRequest {
+		request.Waited = time.Since(since)
+		return request
+	}
 	for {
-		answer, err := send(ctx, c.router, id, methodBegin, request, c.service.Begin)
+		answer, err := sendEach(ctx, c.router, id, methodBegin, asking, c.service.Begin)
 		if err != nil {
 			return program.BeginResult{}, err
 		}
@@ -52,15 +60,28 @@
 }
 
 // Settle ends a call. When ctx ends first, the settlement is repeated in the
-// background, since a call that stays open blocks its program.
+// background, since a call that stays open blocks its program. An answer that came
+// after the owner had ended the call as unknown is not in the history; Settle then
+// returns ErrRejected with a problem that says so.
 func (c *Client) Settle(ctx context.Context, request program.SettleRequest) error {
 	settle := func(ctx context.Context) error {
-		_, err := send(ctx, c.router, PartitionOfProgram(request.Key), methodSettle, request, c.service.Settle)
+		answer, err := send(ctx, c.router, PartitionOfProgram(request.Key), methodSettle, request, c.service.Settle)
+		if err == nil && answer.Ended && request.Outcome == structs.OutcomeAnswered {
+			return errors.Join(ErrRejected, notCommitted())
+		}
 		return err
 	}
 	return c.backlog.try(ctx, settle)
 }
 
+// notCommitted is the problem of an answer that came too late for the history.
+func notCommitted() *structs.Problem {
+	return &structs.Problem{
+		Code: "not-committed", Status: http.StatusBadGateway, Run: structs.RunYes,
+		Detail: "another host ended the call first, so its answer may be missing from the program's history",
+	}
+}
+
 // End ends a program.
 func (c *Client) End(ctx context.Context, request program.EndRequest) error {
 	_, err := send(ctx, c.router, PartitionOfProgram(request.Key), methodEnd, request, c.service.End)
--- a/internal/owner/router.go
+++ b/internal/owner/router.go
@@ -38,6 +38,12 @@
 // until it is done or ctx ends. ErrUnavailable: no effect. ErrUncertain: perhaps an
 // effect.
 func send[A, R any](ctx context.Context, r *Router, id partition.ID, method string, args A,
+	local func(context.Context, A) (R, error)) (R, error) {
+	return sendEach(ctx, r, id, method, func() A { return args }, local)
+}
+
+// sendEach is send with arguments that are made anew for each attempt.
+func sendEach[A, R any](ctx context.Context, r *Router, id partition.ID, method string, args func() A,
 	local func(context.Context, A) (R, error)) (R, error) {
 	var zero R
 	ctx, cancel := withDefaultTimeout(ctx)
@@ -45,7 +51,7 @@
 	maybeApplied := false
 	for {
 		changed := r.locator.Changed()
-		reply := attempt(ctx, r, id, method, args, local)
+		reply := attempt(ctx, r, id, method, args(), local)
 		switch reply.Code {
 		case CodeOK:
 			return reply.Value, nil
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -31,6 +31,8 @@
 	rates    func(structs.AccountID) (account.Limits, bool)
 	started  time.Time
 	waiting  *program.Waiting
+	// takeovers is a leaf lock, taken under the partition's.
+	takeovers *takeovers
 
 	mu     sync.Mutex
 	begins map[structs.CallID]*pendingBegin
@@ -39,13 +41,14 @@
 // NewService returns a service without waiting calls. Run must be running.
 func NewService(options Options) *Service {
 	return &Service{
-		proposer: options.Proposer,
-		viewer:   options.Viewer,
-		origin:   options.Origin,
-		rates:    options.Rates,
-		started:  time.Now(),
-		waiting:  program.NewWaiting(),
-		begins:   make(map[structs.CallID]*pendingBegin),
+		proposer:  options.Proposer,
+		viewer:    options.Viewer,
+		origin:    options.Origin,
+		rates:     options.Rates,
+		started:   time.Now(),
+		waiting:   program.NewWaiting(),
+		takeovers: newTakeovers(),
+		begins:    make(map[structs.CallID]*pendingBegin),
 	}
 }
 
@@ -59,10 +62,17 @@
 			return
 		case <-ticker.C:
 			s.dropAbandoned(time.Now())
+			s.takeovers.drop(time.Now())
 		}
 	}
 }
 
+// Activated notes that this host became the owner of a partition. The partition's lock
+// is held.
+func (s *Service) Activated(id partition.ID, machine partition.Machine) {
+	s.takeovers.begin(id, program.FromMachine(machine).RunningCalls(), time.Now())
+}
+
 // clock returns the time for one decision.
 func (s *Service) clock() structs.OwnerClock {
 	now := time.Now()
--- a/internal/owner/settle.go
+++ b/internal/owner/settle.go
@@ -12,8 +12,8 @@
 
 // SettleAnswer is the answer to a settlement.
 type SettleAnswer struct {
-	// Ended means that the call was not running any more: its host had left the view and
-	// the call was ended as unknown, or its program is gone.
+	// Ended means that the call was ended as unknown before, since its host had left the
+	// view. Its answer does not enter the history.
 	Ended bool
 }
 
@@ -22,9 +22,13 @@
 	err := s.propose(ctx, PartitionOfProgram(request.Key), func(state *program.State) ([]byte, error) {
 		return state.DecideSettle(request, s.clock())
 	})
-	if errors.Is(err, program.ErrCallEnded) || errors.Is(err, program.ErrProgramNotFound) {
+	if errors.Is(err, program.ErrCallEnded) {
 		return SettleAnswer{Ended: true}, nil
 	}
+	if errors.Is(err, program.ErrProgramNotFound) {
+		// The program ended with this call or was ended meanwhile: no history is left.
+		return SettleAnswer{}, nil
+	}
 	if err == nil {
 		s.waiting.Wake(request.Key)
 	}
--- a/internal/program/abandon.go
+++ b/internal/program/abandon.go
@@ -27,6 +27,22 @@
 	return Op{Abandon: op}.encode()
 }
 
+// RunningCalls returns the running call of each program that has one.
+func (s *State) RunningCalls() map[Key]structs.CallID {
+	var running map[Key]structs.CallID
+	for _, key := range s.numbers {
+		_, p := s.find(key)
+		if p == nil || p.Running == nil {
+			continue
+		}
+		if running == nil {
+			running = make(map[Key]structs.CallID)
+		}
+		running[key] = p.Running.ID
+	}
+	return running
+}
+
 // applyAbandon ends calls as unknown.
 func (s *State) applyAbandon(op *abandonOp) error {
 	for _, ref := range op.Calls {
--- a/internal/program/begin.go
+++ b/internal/program/begin.go
@@ -20,6 +20,9 @@
 	MaxTokens int64
 	// Budget is what the account's plan allows a program.
 	Budget structs.Budget
+	// Waited is how long ago the entry host first asked. A new owner restores the order
+	// of the calls that waited at its predecessor by it.
+	Waited time.Duration
 	// Now is the owner's time; the owner sets it.
 	Now time.Time
 }
--- a/internal/program/waiting.go
+++ b/internal/program/waiting.go
@@ -1,6 +1,10 @@
 package program
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
 // Waiting keeps the calls that wait at an owner in the order of their acceptance. It
 // is not replicated: a waiting call is a connection to this owner and ends with it.
@@ -14,6 +18,7 @@
 type Ticket struct {
 	waiting *Waiting
 	key     Key
+	since   time.Time
 	ready   chan struct{}
 }
 
@@ -22,18 +27,32 @@
 	return &Waiting{queues: make(map[Key][]*Ticket)}
 }
 
-// Enter takes the last place of the program's queue. The caller must Leave.
-func (w *Waiting) Enter(key Key) *Ticket {
+// Enter takes the place in the program's queue of a call that waits since the given
+// time. The caller must Leave.
+func (w *Waiting) Enter(key Key, since time.Time) *Ticket {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t := &Ticket{waiting: w, key: key, ready: make(chan struct{}, 1)}
-	w.queues[key] = append(w.queues[key], t)
-	if w.queues[key][0] == t {
+	t := &Ticket{waiting: w, key: key, since: since, ready: make(chan struct{}, 1)}
+	queue := w.queues[key]
+	place := len(queue)
+	for place > 0 && queue[place-1].since.After(since) {
+		place--
+	}
+	w.queues[key] = slices.Insert(queue, place, t)
+	if place == 0 {
 		t.signal()
 	}
 	return t
 }
 
+// First reports whether the ticket is the first of its queue.
+func (t *Ticket) First() bool {
+	t.waiting.mu.Lock()
+	defer t.waiting.mu.Unlock()
+	queue := t.waiting.queues[t.key]
+	return len(queue) > 0 && queue[0] == t
+}
+
 // Ready receives a value when the ticket is the first of its queue and should decide:
 // when it becomes the first, and after each Wake of its root. Calls must not begin
 // before that.
