Keep a stopping host until no list of entry hosts names it

Cause: a planned stop ended as soon as no connection was open. A caller whose last answer had closed its connection still had a list, up to 30 s old, that named the host, and its next call was refused by the dead address. Seen in TestPlannedStopsCutNothing with callers that follow /v1/entry-hosts and reuse connections. Change: Shutdown waits for the life of the list and 2 s for hosts that learn of the stop from peers. When no other host takes callers, it waits for connections as before. A stop now takes at least 32 s with the default entry_hosts_ttl.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -7,8 +7,14 @@
 	"time"
 )
 
-// drainCheck is how often a drain looks whether all connections are closed.
-const drainCheck = 50 * time.Millisecond
+const (
+	// drainCheck is how often a drain looks whether it may go on.
+	drainCheck = 50 * time.Millisecond
+	// listMargin is how long after this host began to leave another host may still name
+	// it in the list of entry hosts, and a list is on its way to a caller. A host that
+	// reads the membership records from its peers has them a heartbeat later.
+	listMargin = 2 * time.Second
+)
 
 // StartDrain makes callers use other hosts: this host no longer names itself in the
 // list of entry hosts and closes each connection after its next answer. It still
@@ -18,11 +24,11 @@
 }
 
 // Shutdown drains and returns when all calls have ended, also those whose caller has
-// gone. Callers have the life of the list of entry hosts to move their connections;
-// then idle ones are closed. Nothing is closed early but when ctx ends.
+// gone. A caller may open a connection as long as its list of entry hosts names this
+// host, so nothing is closed before the life of the list is over, unless ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.StartDrain()
-	s.awaitConns(ctx)
+	s.awaitLists(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = s.http.Close()
 		return err
@@ -40,14 +46,14 @@
 	}
 }
 
-// awaitConns waits until no connection is open, for at most the life of the list of
-// entry hosts.
-func (s *Server) awaitConns(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, s.options.Limits.HostsTTL)
+// awaitLists waits until no caller has a list that names this host. Without another
+// host that takes callers, it waits for open connections only.
+func (s *Server) awaitLists(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, s.options.Limits.HostsTTL+listMargin)
 	defer cancel()
 	ticker := time.NewTicker(drainCheck)
 	defer ticker.Stop()
-	for s.conns.Load() > 0 {
+	for s.conns.Load() > 0 || len(s.takingCallers(s.options.Hosts.View())) > 0 {
 		select {
 		case <-limited.Done():
 			return
--- /dev/null
+++ b/internal/host/graceful_stop_test.go
@@ -0,0 +1,226 @@
+package host_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipgw/internal/standin/logserver"
+	"cowslipgw/internal/transport"
+)
+
+// follower is a caller that keeps its connections and uses the hosts that
+// /v1/entry-hosts names, asking again when the answer's time is over.
+type follower struct {
+	s         *site
+	transport *http.Transport
+	hosts     []string
+	until     time.Time
+}
+
+func newFollower(s *site, ip string) *follower {
+	return &follower{s: s, transport: transport.HTTPTransport(s.network.Host(ip)), hosts: []string{addressOf(0)}}
+}
+
+// address returns the host to use. When the list's time is over, any host of the old
+// list that still answers gives the new one.
+func (f *follower) address() string {
+	if time.Now().Before(f.until) {
+		return f.hosts[0]
+	}
+	for _, host := range f.hosts {
+		got := f.send(host, call{method: http.MethodGet, path: "/v1/entry-hosts"})
+		var list struct {
+			Hosts []struct{ Address string }
+			TTL   int `json:"ttl_seconds"`
+		}
+		if json.Unmarshal([]byte(got.body), &list) != nil || len(list.Hosts) == 0 {
+			continue
+		}
+		f.hosts = nil
+		for _, host := range list.Hosts {
+			f.hosts = append(f.hosts, host.Address)
+		}
+		f.until = time.Now().Add(time.Duration(list.TTL) * time.Second)
+		return f.hosts[0]
+	}
+	f.s.t.Error("no host of the last list answers")
+	return f.hosts[0]
+}
+
+// send sends a call once: nothing is repeated on another connection.
+func (f *follower) send(address string, c call) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, bytes.NewReader([]byte(c.body)))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.GetBody = nil
+	if c.key != "" {
+		request.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	for name, value := range c.header {
+		request.Header.Set(name, value)
+	}
+	response, err := f.transport.RoundTrip(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// steadyLoad is a load that a planned stop must not disturb.
+type steadyLoad struct {
+	stop context.CancelFunc
+	done sync.WaitGroup
+	mu   sync.Mutex
+	sent int
+	// pickups are the calls that must have run once.
+	pickups []string
+}
+
+// startSteadyLoad starts callers: of programs with short and long streams, of quick
+// calls in close succession, and of calls that must not be repeated.
+func (s *site) startSteadyLoad() *steadyLoad {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &steadyLoad{stop: stop}
+	s.key("clinic")
+	for i := range 8 {
+		l.done.Go(func() {
+			f := newFollower(s, fmt.Sprintf("10.9.1.%d", i+1))
+			defer f.transport.CloseIdleConnections()
+			for n := 0; ctx.Err() == nil; n++ {
+				l.one(f, i, n)
+			}
+		})
+	}
+	return l
+}
+
+// one makes one call and checks that it was neither cut nor refused.
+func (l *steadyLoad) one(f *follower, i, n int) {
+	var c call
+	pause := time.Duration(100+53*i) * time.Millisecond
+	switch i % 4 {
+	case 0:
+		c = f.s.chat("clinic", fmt.Sprintf("stop-%d-%d", i, n/20), "text").streamed().tokens(150)
+	case 1:
+		c = f.s.chat("clinic", "", "text").streamed().tokens(4000)
+	case 2:
+		c = f.s.chat("clinic", "", "text")
+	case 3:
+		key := fmt.Sprintf("pickup-%d-%d", i, n)
+		c = f.s.pickup("clinic", key, "four packs")
+		l.mu.Lock()
+		l.pickups = append(l.pickups, key)
+		l.mu.Unlock()
+		pause *= 4
+	}
+	address := f.address()
+	got := f.send(address, c)
+	_, whole := got.whole()
+	if got.err != nil || got.status != 200 || i%4 != 3 && !whole {
+		f.s.t.Errorf("%v: call %d of caller %d at %s got %d %.200s %v", time.Now(), n, i, address, got.status, got.body, got.err)
+	}
+	l.mu.Lock()
+	l.sent++
+	l.mu.Unlock()
+	time.Sleep(pause)
+}
+
+// end stops the load and checks the calls that must not be repeated.
+func (l *steadyLoad) end(s *site) {
+	s.t.Helper()
+	l.stop()
+	l.done.Wait()
+	is.New(s.t).True(l.sent > 100)
+	for _, key := range l.pickups {
+		if runs := s.runs(key); runs != 1 {
+			s.t.Errorf("%s ran %d times", key, runs)
+		}
+	}
+}
+
+// stopAll stops hosts at the same time and waits for their end.
+func (s *site) stopAll(hosts ...int) {
+	for _, i := range hosts {
+		s.host(i).stop()
+	}
+	for _, i := range hosts {
+		s.stop(i)
+	}
+}
+
+// TestPlannedStopsCutNothing guards against a planned stop that cuts or wrongly refuses
+// a request: each host in turn, two at once, and a failure domain at once, under load.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	runSite(t, siteConfig{}, func(s *site) {
+		load := s.startSteadyLoad()
+		time.Sleep(5 * time.Second)
+		for _, hosts := range [][]int{{0}, {1}, {2}, {3}, {4}, {5}, {0, 1}, {2, 5}} {
+			s.stopAll(hosts...)
+			time.Sleep(time.Second)
+			for _, i := range hosts {
+				s.start(i)
+			}
+			s.awaitReady()
+		}
+		load.end(s)
+	})
+}
+
+// TestPlannedStopsDuringFaults guards against a planned stop that loses a request
+// because something else fails at the same time.
+func TestPlannedStopsDuringFaults(t *testing.T) {
+	faults := map[string]logserver.Faults{
+		"log slow":          {DelayMillis: 1200},
+		"log loses answers": {LoseAnswers: 3},
+	}
+	for name, faults := range faults {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, siteConfig{}, func(s *site) {
+				load := s.startSteadyLoad()
+				time.Sleep(5 * time.Second)
+				s.log.SetFaults(faults)
+				s.stop(2)
+				s.log.SetFaults(logserver.Faults{})
+				time.Sleep(5 * time.Second)
+				load.end(s)
+			})
+		})
+	}
+}
+
+// TestPlannedStopWaitsForStreams guards against a stop that cuts a live status stream
+// or a stop that is never over once its caller has gone.
+func TestPlannedStopWaitsForStreams(t *testing.T) {
+	runSite(t, siteConfig{}, func(s *site) {
+		is := is.New(s.t)
+		watching, leave := context.WithTimeout(context.Background(), 3*time.Minute)
+		defer leave()
+		got := make(chan answer, 1)
+		go func() {
+			got <- s.sendTo(watching, addressOf(0), call{method: http.MethodGet, path: "/apps/app/status/stream"})
+		}()
+		time.Sleep(time.Second)
+		started := time.Now()
+		s.stop(0)
+		took := time.Since(started)
+		is.True(took >= 2*time.Minute) // the stream is open until its caller leaves
+		is.True(took < 4*time.Minute)
+		a := <-got
+		is.True(strings.Count(a.body, "data: ") > 170) // an event each second
+	})
+}
--- a/internal/host/order_history_test.go
+++ b/internal/host/order_history_test.go
@@ -115,6 +115,10 @@
 	return []siteFault{
 		{name: "host killed", begin: kill(0), undo: start(0)},
 		{name: "failure domain killed", begin: kill(2, 5), undo: start(2, 5)},
+		{name: "planned stop", begin: func(s *site, _ *engineLog) { s.host(3).stop() }, undo: func(s *site, _ *engineLog) {
+			s.stop(3)
+			s.start(3)
+		}},
 		{name: "host cut from log", begin: cutLog, undo: restoreLog, overlap: true},
 		{name: "host cut from peers", begin: cutPeers, undo: restorePeers, overlap: true},
 		{name: "host cut from both", begin: cutBoth, undo: restoreBoth, overlap: true},
@@ -167,7 +171,7 @@
 }
 
 // TestOrderAndHistoryUnderPairs is the same under pairs of failures. It runs every
-// fourth pair, with each failure in several; -pairs runs all 78.
+// fourth pair, with each failure in several; -pairs runs all 91.
 func TestOrderAndHistoryUnderPairs(t *testing.T) {
 	faults := siteFaults()
 	for i, first := range faults {
