--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -45,6 +45,8 @@
 	log                logserver.Settings
 	// accounts and plans are the two lists; keys in accounts are written as {key NAME}.
 	accounts, plans string
+	// change alters the settings of every host; nil for none.
+	change func(*settings.Host)
 	// delay is the one-way delay of every link.
 	delay time.Duration
 	// logTo gets the hosts' events; nil for none.
@@ -280,14 +282,20 @@
 // start starts the i-th host, also after a stop or kill.
 func (s *site) start(i int) *runningHost {
 	s.t.Helper()
-	ip := fmt.Sprintf("10.0.0.%d", i+1)
+	ip := hostIP(i)
 	config := settings.Default()
 	config.ID = hostID(i)
 	config.Region = s.config.region
 	config.Domain = s.config.domains[i%len(s.config.domains)]
 	config.EntryAddress, config.AdminAddress, config.ControlAddress = ip+":80", ip+":81", ip+":82"
-	config.Platform = settings.Platform{Log: logIP + ":80", HostList: hostListIP + ":80"}
+	config.Platform.Log, config.Platform.HostList = logIP+":80", hostListIP+":80"
+	if s.config.log.RetainFor > 0 {
+		config.Platform.LogRetention = s.config.log.RetainFor
+	}
 	config.Upstream.Credential = credential
+	if s.config.change != nil {
+		s.config.change(&config)
+	}
 	logger := event.New(s.config.logTo, true, 5)
 	tracer, err := trace.New(context.Background(), trace.Options{})
 	if err != nil {
@@ -394,7 +402,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
-	// A killed host's settlements go on until their time is over; its process would have
-	// taken them along.
-	time.Sleep(settings.Default().Limits.Settle)
+	// Time stands still after the test's function, so that what killed hosts still try
+	// must end here.
+	time.Sleep(settings.Default().Limits.Carry + time.Minute)
 }
