--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -51,6 +51,8 @@
 	delay time.Duration
 	// logTo gets the hosts' events; nil for none.
 	logTo io.Writer
+	// wrap puts a handler in front of each replica; nil for none.
+	wrap func(replica string, next http.Handler) http.Handler
 }
 
 // site is a whole system in one process on an in-memory network and virtual time.
@@ -163,6 +165,9 @@
 	if c.logTo == nil {
 		c.logTo = io.Discard
 	}
+	if c.wrap == nil {
+		c.wrap = func(_ string, next http.Handler) http.Handler { return next }
+	}
 }
 
 // runSite runs a test against a site that serves, in virtual time.
@@ -206,7 +211,7 @@
 		config.ID = id
 		s.engines[id] = engine.New(config)
 		s.closers = append(s.closers, s.engines[id].Close)
-		s.serve(ip, s.engines[id])
+		s.serve(ip, s.config.wrap(id, s.engines[id]))
 		replicas = append(replicas, hostlist.Replica{
 			Pool: s.config.modelPool, ID: id, Address: ip + ":80", Domain: domain(i), State: "live",
 			Kind: "engine", ChecksFence: config.ChecksFence,
@@ -218,7 +223,7 @@
 		config.ID = id
 		s.apps[id] = app.New(config)
 		s.closers = append(s.closers, s.apps[id].Close)
-		s.serve(ip, s.apps[id])
+		s.serve(ip, s.config.wrap(id, s.apps[id]))
 		replicas = append(replicas, hostlist.Replica{
 			Pool: s.config.appPool, ID: id, Address: ip + ":80", Domain: domain(i), State: "live", Kind: "app",
 		})
--- a/internal/owner/client.go
+++ b/internal/owner/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"cowslipgw/internal/account"
 	"cowslipgw/internal/program"
@@ -39,8 +40,13 @@
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	id := PartitionOfProgram(request.Key)
+	since := time.Now()
+	asking := func() program.BeginRequest {
+		request.Waited = time.Since(since)
+		return request
+	}
 	for {
-		answer, err := send(ctx, c.router, id, methodBegin, request, c.service.Begin)
+		answer, err := sendEach(ctx, c.router, id, methodBegin, asking, c.service.Begin)
 		if err != nil {
 			return program.BeginResult{}, err
 		}
--- a/internal/program/program_test.go
+++ b/internal/program/program_test.go
@@ -205,7 +205,8 @@
 			return false
 		}
 	}
-	a, b, c := w.Enter(key("r", "r")), w.Enter(key("r", "r")), w.Enter(key("r", "r"))
+	since := time.Unix(1, 0)
+	a, b, c := w.Enter(key("r", "r"), since), w.Enter(key("r", "r"), since), w.Enter(key("r", "r"), since)
 	is.True(ready(a))
 	w.Wake(key("r", "s"))
 	is.True(ready(a))
@@ -216,5 +217,5 @@
 	is.True(ready(c))
 	c.Leave()
 	w.WakeAll()
-	is.True(ready(w.Enter(key("r", "r"))))
+	is.True(ready(w.Enter(key("r", "r"), since)))
 }
