program: a late open does not take an idempotency key again

The router repeats an open until its time is over; the entry host then closes the claim as not run. An attempt that a cut connection delivers after that opened the claim anew, and nobody closed it. Ruled out: a call that ran (no app got it), and a close that was not delivered. Change: a claim that is closed as not run, also one that is not there, is remembered for 10 min. It refuses a further open of the same call and is free for other calls.

--- a/internal/program/claim_machine.go
+++ b/internal/program/claim_machine.go
@@ -14,7 +14,8 @@
 	Digest [32]byte       `cbor:"1,keyasint"`
 	Call   structs.CallID `cbor:"2,keyasint"`
 	Origin structs.Origin `cbor:"3,keyasint"`
-	// Outcome is 0 while the request runs.
+	// Outcome is 0 while the request runs. With OutcomeNotRun the key is free; the entry
+	// only keeps a repeated open of the same call, which came late, from taking it again.
 	Outcome structs.Outcome `cbor:"4,keyasint,omitempty"`
 	// Answer is nil if the outcome is not known or the answer was dropped.
 	Answer *StoredAnswer `cbor:"5,keyasint,omitempty"`
@@ -47,7 +48,11 @@
 	if !inView(req.Origin) {
 		return OpenResult{Problem: notInView(req.Origin)}, nil, nil
 	}
-	if found := s.claims[req.Claim]; found != nil {
+	found := s.claims[req.Claim]
+	if found.free() && found.Call == req.Call {
+		return OpenResult{Problem: closedBefore(req.Call)}, nil, nil
+	}
+	if found != nil && !found.free() {
 		result := found.result(req, inView)
 		if result.State != ClaimUnknown || found.Outcome != 0 {
 			return result, nil, nil
@@ -75,6 +80,19 @@
 	return OpenResult{State: ClaimOpened}, op, err
 }
 
+// free reports whether the claim's request was closed as not run.
+func (c *claim) free() bool {
+	return c != nil && c.Outcome == structs.OutcomeNotRun
+}
+
+// closedBefore refuses an open that came after the close of the same call.
+func closedBefore(call structs.CallID) *structs.Problem {
+	return &structs.Problem{
+		Code: "claim-closed", Status: http.StatusServiceUnavailable, Run: structs.RunNo,
+		Detail: fmt.Sprintf("the claim of call %s was closed as not run", call), RetryAfter: time.Second,
+	}
+}
+
 // result answers a request for a key that is claimed. The request of the claim itself
 // is a retry of the same host, which did not learn that it had opened the claim.
 func (c *claim) result(req OpenRequest, inView InView) OpenResult {
@@ -100,16 +118,16 @@
 // ErrCallEnded if another call holds the claim or it has expired.
 func (s *State) DecideClose(req CloseRequest, clock structs.OwnerClock) ([]byte, error) {
 	found := s.claims[req.Claim]
+	op := &closeOp{Claim: req.Claim, Call: req.Call, Outcome: req.Outcome, At: clock.Now.UnixNano()}
 	if found == nil && req.Outcome == structs.OutcomeNotRun {
-		return nil, nil
+		return Op{Close: op}.encode()
 	}
 	if found == nil || found.Call != req.Call {
 		return nil, fmt.Errorf("close claim of %s: %w", req.Call, ErrCallEnded)
 	}
-	if found.Outcome == structs.OutcomeAnswered || found.Outcome == structs.OutcomeUnknown && req.Outcome == structs.OutcomeNotRun {
+	if found.free() || found.Outcome == structs.OutcomeAnswered || found.Outcome == structs.OutcomeUnknown && req.Outcome == structs.OutcomeNotRun {
 		return nil, nil
 	}
-	op := &closeOp{Claim: req.Claim, Call: req.Call, Outcome: req.Outcome, At: clock.Now.UnixNano()}
 	if req.Outcome == structs.OutcomeAnswered && req.Answer.size() <= s.limits.MaxAnswerBytes {
 		op.Answer = req.Answer
 		op.Dropped = s.toDrop(req.Answer.size())
@@ -183,13 +201,14 @@
 // applyClose ends or removes a claim.
 func (s *State) applyClose(op *closeOp) error {
 	found := s.claims[op.Claim]
-	if found == nil || found.Call != op.Call {
-		return fmt.Errorf("close of the claim of %s: %w", op.Call, ErrMalformedOp)
-	}
-	if op.Outcome == structs.OutcomeNotRun {
+	if op.Outcome == structs.OutcomeNotRun && (found == nil || found.Call == op.Call) {
 		s.dropClaim(op.Claim)
+		s.claims[op.Claim] = &claim{Call: op.Call, Outcome: op.Outcome, At: op.At}
 		return nil
 	}
+	if found == nil || found.Call != op.Call {
+		return fmt.Errorf("close of the claim of %s: %w", op.Call, ErrMalformedOp)
+	}
 	for _, key := range op.Dropped {
 		if old := s.claims[key]; old != nil {
 			s.answerBytes -= old.Answer.size()
--- a/internal/program/expire.go
+++ b/internal/program/expire.go
@@ -1,9 +1,16 @@
 package program
 
 import (
+	"time"
+
 	"cowslipgw/internal/structs"
 )
 
+// freeClaimKept is how long a claim that was closed as not run is remembered. A repeated
+// open may be delivered late by a connection that was cut meanwhile. The claims' retention
+// bounds it, too.
+const freeClaimKept = 10 * time.Minute
+
 // DecideExpire releases the engine memory of programs without a call for the hold time,
 // ends those without a call for the idle time, and removes claims after their
 // retention, up to a batch of each. A claim whose host is still in the view and
@@ -15,6 +22,9 @@
 	op.Forget = s.holdingPrograms(now - int64(s.limits.Hold))
 	old := s.claimKeys(func(c *claim) bool {
 		running := c.Outcome == 0 && inView(c.Origin)
+		if c.free() {
+			return c.At+int64(min(freeClaimKept, s.limits.Retention)) <= now
+		}
 		return !running && c.At+int64(s.limits.Retention) <= now
 	})
 	op.Claims = old[:min(len(old), expireBatch)]
