--- a/internal/host/chaos_test.go
+++ b/internal/host/chaos_test.go
@@ -217,9 +217,6 @@
 	}
 )
 
-// moveFaults take the owner's state to another host, or try to.
-var moveFaults = []fault{hostFaults[0], hostFaults[1], hostFaults[6], hostFaults[7], hostFaults[8], hostFaults[10]}
-
 // everyPair runs every two faults together, which takes a few minutes of processor time.
 var everyPair = flag.Bool("site.all", false, "run all pairs of faults")
 
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -65,6 +66,7 @@
 	engines  map[string]*engine.Engine
 	apps     map[string]*app.Service
 	hosts    map[structs.HostID]*runningHost
+	keyLock  sync.Mutex
 	keys     map[string]string
 	servers  []*standin.Server
 	closers  []func()
@@ -242,6 +244,8 @@
 
 // key returns the key of a client account, and makes it at first use.
 func (s *site) key(name string) string {
+	s.keyLock.Lock()
+	defer s.keyLock.Unlock()
 	if s.keys[name] == "" {
 		s.keys[name] = "cgw_key-of-" + name + "-0123456789abcdefghij"
 	}
@@ -356,13 +360,6 @@
 	}
 }
 
-// restore undoes cut.
-func (s *site) restore(i int, ips ...string) {
-	for _, ip := range ips {
-		s.network.Restore(s.host(i).ip, ip)
-	}
-}
-
 // awaitReady waits until every host serves and sees all others.
 func (s *site) awaitReady() {
 	s.t.Helper()
