--- a/cmd/cowslipgw/dev_system.go
+++ b/cmd/cowslipgw/dev_system.go
@@ -10,8 +10,6 @@
 	"text/template"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"cowslipgw/internal/account"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/host"
@@ -33,7 +31,8 @@
 	devReadyLimit = 30 * time.Second
 	devReadyCheck = 20 * time.Millisecond
 	// devHostsTTL is short, so that Ctrl-C does not wait long for idle connections.
-	devHostsTTL = 2 * time.Second
+	devHostsTTL = time.Second
+	devLoadLag  = 500 * time.Millisecond
 )
 
 // devDomains are the failure domains of the system that dev starts, one host in each.
@@ -45,19 +44,34 @@
 //go:embed example/plans.ini
 var examplePlans string
 
+// devRun is a running host.
+type devRun struct {
+	stop context.CancelFunc
+	done chan error
+}
+
+// startDevRun runs a host until it is told to stop.
+func startDevRun(h *host.Host) devRun {
+	ctx, stop := context.WithCancel(context.Background())
+	run := devRun{stop: stop, done: make(chan error, 1)}
+	go func() { run.done <- h.Run(ctx, context.Background()) }()
+	return run
+}
+
 // devSystem is a running small system.
 type devSystem struct {
 	outside *launch.Process
 	hosts   []*host.Host
 	tracer  *trace.Tracer
 	key     string
-	group   errgroup.Group
-	drain   context.CancelFunc
+	// engine are the settings of the engine stand-ins.
+	engine engine.Settings
+	runs   []devRun
 }
 
 // startDevSystem starts stand-ins, publishes the example lists and starts the hosts.
 func startDevSystem(ctx context.Context, listen string, logger *event.Logger) (*devSystem, error) {
-	d := &devSystem{}
+	d := &devSystem{engine: engine.Settings{LoadLag: devLoadLag}}
 	if err := d.start(ctx, listen, logger); err != nil {
 		return nil, errors.Join(err, d.stop())
 	}
@@ -69,14 +83,12 @@
 	if d.tracer, err = trace.New(ctx, trace.Options{}); err != nil {
 		return err
 	}
-	if d.outside, err = launch.Start(ctx, transport.TCP{}, devStandins(), io.Discard); err != nil {
+	if d.outside, err = launch.Start(ctx, transport.TCP{}, devStandins(d.engine), io.Discard); err != nil {
 		return err
 	}
 	if err := d.publishLists(ctx); err != nil {
 		return err
 	}
-	stop, drain := context.WithCancel(context.Background())
-	d.drain = drain
 	for i, domain := range devDomains {
 		s := d.hostSettings(i, domain, listen)
 		h, err := host.New(ctx, host.Options{Settings: s, Network: transport.TCP{}, Logger: logger, Tracer: d.tracer})
@@ -84,13 +96,15 @@
 			return err
 		}
 		d.hosts = append(d.hosts, h)
-		d.group.Go(func() error { return h.Run(stop, context.Background()) })
+		d.runs = append(d.runs, startDevRun(h))
 	}
 	return d.awaitReady(ctx)
 }
 
 // devStandins configures the outside systems.
-func devStandins() *launch.Config {
+func devStandins(engines engine.Settings) *launch.Config {
+	engines.Models = []string{"assistant"}
+	engines.ChecksFence = true
 	const anyPort = "127.0.0.1:0"
 	pool := func(name string) launch.PoolConfig {
 		return launch.PoolConfig{Name: name, Pool: name, Listen: anyPort, Replicas: devReplicas, Domains: devDomains}
@@ -100,7 +114,7 @@
 		Hosts: &launch.HostsConfig{Listen: anyPort, Lag: 500 * time.Millisecond},
 		Engines: []*launch.EngineConfig{{
 			PoolConfig: pool("llm-pool"),
-			Settings:   engine.Settings{Models: []string{"assistant"}, ChecksFence: true, LoadLag: 500 * time.Millisecond},
+			Settings:   engines,
 		}},
 		Apps: []*launch.AppConfig{{PoolConfig: pool("app"), Settings: app.Settings{}}},
 	}
@@ -182,12 +196,13 @@
 	return true
 }
 
-// stop drains the hosts together and then stops the stand-ins.
+// stop drains the hosts one after another, so that each hands its partitions over, and
+// then stops the stand-ins.
 func (d *devSystem) stop() error {
 	var err error
-	if d.drain != nil {
-		d.drain()
-		err = d.group.Wait()
+	for _, run := range d.runs {
+		run.stop()
+		err = errors.Join(err, <-run.done)
 	}
 	if d.outside != nil {
 		err = errors.Join(err, d.outside.Stop())
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -99,11 +99,15 @@
 	}
 }
 
-// drain leaves the fleet without cutting a request (docs/design.md, section 5.8).
+// drain leaves the fleet without cutting a request (docs/design.md, section 5.8). The
+// last host of a fleet keeps its partitions until its requests have ended, since nobody
+// else can settle them.
 func (h *Host) drain(ctx context.Context) {
 	h.options.Logger.Log(event.HostDraining, nil)
 	h.entry.StartDrain()
-	h.leave(ctx)
+	if h.hasSuccessor() {
+		h.leave(ctx)
+	}
 	if err := h.entry.Shutdown(ctx); err != nil {
 		h.options.Logger.Log(event.DrainIncomplete, event.Fields{"error": err.Error()})
 	}
@@ -126,14 +130,24 @@
 	h.awaitHandover(limited)
 }
 
+// hasSuccessor reports whether another host can take this host's partitions.
+func (h *Host) hasSuccessor() bool {
+	for _, host := range h.member.View().Hosts {
+		if host.ID != h.options.Settings.ID && !host.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitHandover waits until no other host needs this host's copies and no settlement
-// waits here.
+// waits here. Without a successor there is nothing to wait for.
 func (h *Host) awaitHandover(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
 	ticker := time.NewTicker(handoverCheck)
 	defer ticker.Stop()
-	for !h.manager.HandedOver() || h.owners.Backlog() > 0 {
+	for h.hasSuccessor() && (!h.manager.HandedOver() || h.owners.Backlog() > 0) {
 		select {
 		case <-limited.Done():
 			return
