Run the bucket logic of package account in the bench

Change: owners decide with account.Buckets on the virtual clock; hosts hold grants, report and return them late, and ask again while tokens are unsettled, as account.Limiter does. A bucket moves with the view change or the handover and starts on another clock.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -34,6 +34,8 @@
 	calls          uint64
 
 	limiter limiter
+	// owners are the hosts that own the accounts' buckets.
+	owners []int
 	// ownerDown says until when the owner of an account's bucket cannot be asked.
 	ownerDown []time.Duration
 	runs      map[uint64]*programRun
@@ -54,6 +56,7 @@
 // hostRun is an entry host.
 type hostRun struct {
 	dead, leaving bool
+	diedAt        time.Duration
 }
 
 const (
@@ -86,9 +89,13 @@
 		runs:      make(map[uint64]*programRun),
 		collect:   newCollector(d, w),
 	}
-	c.limiter = newFleetLimiter(w.limits)
+	for account := range d.Accounts {
+		c.owners = append(c.owners, (account+1)%d.Hosts)
+	}
 	if spec.shares {
-		c.limiter = newShareLimiter(w.limits, d.Hosts)
+		c.limiter = newShareLimiter(w.limits, d.Hosts, func() time.Duration { return c.sim.now })
+	} else {
+		c.limiter = newOwnerLimiter(c)
 	}
 	for i := range d.Replicas {
 		c.addReplica(i)
--- a/internal/bench/cluster_faults.go
+++ b/internal/bench/cluster_faults.go
@@ -43,11 +43,8 @@
 // buckets of the accounts that it owns come back with the view change.
 func (c *cluster) killHost(host int) {
 	c.hosts[host].dead = true
-	for account := range c.ownerDown {
-		if c.ownerOf(account) == host {
-			c.ownerDown[account] = c.sim.now + viewChange
-		}
-	}
+	c.hosts[host].diedAt = c.sim.now
+	c.moveOwners(host, viewChange)
 	for _, call := range c.sortedCalls() {
 		if call.host == host && !call.closed {
 			c.cut(call)
@@ -58,9 +55,17 @@
 	}
 }
 
-// ownerOf is the host with an account's bucket.
-func (c *cluster) ownerOf(account int) int {
-	return (account + 1) % len(c.hosts)
+// moveOwners gives the buckets that a host owns to the next live host after a time.
+func (c *cluster) moveOwners(host int, after time.Duration) {
+	for account := range c.owners {
+		if c.owners[account] != host {
+			continue
+		}
+		c.ownerDown[account] = c.sim.now + after
+		for c.hosts[c.owners[account]].dead || c.hosts[c.owners[account]].leaving {
+			c.owners[account] = (c.owners[account] + 1) % len(c.hosts)
+		}
+	}
 }
 
 // cut ends a call whose host died. The engine notices, the caller tries again
@@ -115,11 +120,7 @@
 // owns, finishes its calls and comes back.
 func (c *cluster) restartHost(host int, away time.Duration) {
 	c.hosts[host].leaving = true
-	for account := range c.ownerDown {
-		if c.ownerOf(account) == host {
-			c.ownerDown[account] = c.sim.now + handover
-		}
-	}
+	c.moveOwners(host, handover)
 	if host == c.dispatcherHost {
 		c.dispatcherUp = false
 		c.sim.after(handover, c.newDispatcher)
--- a/internal/bench/cluster_programs.go
+++ b/internal/bench/cluster_programs.go
@@ -55,16 +55,25 @@
 	return 0
 }
 
-// admit applies the account's rate. A call waits while the owner of the account's
-// bucket cannot be asked.
+// admit applies the account's rate.
 func (c *cluster) admit(call *callRun) {
-	account := call.run.account
-	if until := c.ownerDown[account]; until > c.sim.now {
-		c.sim.at(until, func() { c.admit(call) })
+	if c.hosts[call.host].dead {
+		c.decided(call, false, 0)
 		return
 	}
-	admitted, retryAfter := c.limiter.admit(account, call.host, c.sim.now)
-	c.collect.rate.observe(account, admitted, c.sim.now)
+	c.limiter.admit(call.run.account, call.host, func(admitted bool, retryAfter time.Duration) {
+		c.decided(call, admitted, retryAfter)
+	})
+}
+
+// decided goes on with a call that was admitted or refused for the rate. The caller of
+// a host that has died connects to another one.
+func (c *cluster) decided(call *callRun, admitted bool, retryAfter time.Duration) {
+	if c.hosts[call.host].dead {
+		c.sim.after(reconnectAfter, func() { c.send(call) })
+		return
+	}
+	c.collect.rate.observe(call.run.account, admitted, c.sim.now)
 	if admitted {
 		c.collect.offered(call, c.sim.now)
 		c.sim.after(c.deployment.HostDelay, func() { c.enqueue(call) })
--- a/internal/bench/limiter.go
+++ b/internal/bench/limiter.go
@@ -6,8 +6,9 @@
 
 // limiter decides whether an account's call is within its rate.
 type limiter interface {
-	// admit takes one token for a call at a host, or says when to try again.
-	admit(account, host int, now time.Duration) (bool, time.Duration)
+	// admit takes one token for a call at a host, or says when to try again. The decision
+	// may come later.
+	admit(account, host int, decided func(admitted bool, retryAfter time.Duration))
 }
 
 // bucket is a token bucket.
@@ -36,45 +37,28 @@
 	return true, 0
 }
 
-// fleetLimiter is one exact bucket for each account over all hosts, as the owner
-// of the account's partition keeps it.
-type fleetLimiter struct {
-	buckets []*bucket
-}
-
-func newFleetLimiter(limits []accountLimit) *fleetLimiter {
-	l := &fleetLimiter{}
-	for _, limit := range limits {
-		l.buckets = append(l.buckets, newBucket(limit.rate, float64(limit.burst)))
-	}
-	return l
-}
-
-func (l *fleetLimiter) admit(account, _ int, now time.Duration) (bool, time.Duration) {
-	return l.buckets[account].take(now)
-}
-
 // shareLimiter is the baseline for rates: each host has a fixed share of every
 // account's rate and burst.
 type shareLimiter struct {
-	hosts []*fleetLimiter
+	now   func() time.Duration
+	hosts [][]*bucket
 }
 
-func newShareLimiter(limits []accountLimit, hosts int) *shareLimiter {
-	l := &shareLimiter{}
+func newShareLimiter(limits []accountLimit, hosts int, now func() time.Duration) *shareLimiter {
+	l := &shareLimiter{now: now}
 	for range hosts {
-		shares := &fleetLimiter{}
+		var shares []*bucket
 		for _, limit := range limits {
 			burst := max(1, float64(limit.burst)/float64(hosts))
-			shares.buckets = append(shares.buckets, newBucket(limit.rate/float64(hosts), burst))
+			shares = append(shares, newBucket(limit.rate/float64(hosts), burst))
 		}
 		l.hosts = append(l.hosts, shares)
 	}
 	return l
 }
 
-func (l *shareLimiter) admit(account, host int, now time.Duration) (bool, time.Duration) {
-	return l.hosts[host].admit(account, host, now)
+func (l *shareLimiter) admit(account, host int, decided func(bool, time.Duration)) {
+	decided(l.hosts[host][account].take(l.now()))
 }
 
 // recount follows the decisions of a run with exact buckets over the whole fleet
@@ -85,7 +69,11 @@
 }
 
 func newRecount(limits []accountLimit) *recount {
-	return &recount{buckets: newFleetLimiter(limits).buckets}
+	r := &recount{}
+	for _, limit := range limits {
+		r.buckets = append(r.buckets, newBucket(limit.rate, float64(limit.burst)))
+	}
+	return r
 }
 
 // observe adds one decision. Refusing is wrong when the fleet's bucket had a token.
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -30,7 +30,7 @@
 		{Name: "big-yard", total: 0.85, big: 0.50, paired: true},
 		{Name: "host-loss", total: 0.85, faults: func(c *cluster) {
 			c.sim.at(1100*time.Second, func() { c.killHost(c.dispatcherHost) })
-			c.sim.at(1400*time.Second, func() { c.killHost(c.ownerOf(c.deployment.Loud)) })
+			c.sim.at(1400*time.Second, func() { c.killHost(c.owners[c.deployment.Loud]) })
 		}},
 		{Name: "replica-loss", total: 0.70, faults: func(c *cluster) {
 			c.sim.at(1100*time.Second, func() { c.killReplica(2, 200*time.Second) })
