Judge a refusal for the rate at the time of the decision

Change: the exact bucket is read as of the decision, one one-way delay earlier; nothing else is excused.

--- a/internal/bench/cluster_programs.go
+++ b/internal/bench/cluster_programs.go
@@ -73,7 +73,7 @@
 		c.sim.after(reconnectAfter, func() { c.send(call) })
 		return
 	}
-	c.collect.rate.observe(call.run.account, admitted, c.sim.now)
+	c.collect.rate.observe(call.run.account, admitted, c.sim.now, c.limiter.travel())
 	if admitted {
 		c.collect.offered(call, c.sim.now)
 		c.sim.after(c.deployment.HostDelay, func() { c.enqueue(call) })
--- a/internal/bench/host_tokens.go
+++ b/internal/bench/host_tokens.go
@@ -13,6 +13,7 @@
 	host, account int
 	id            structs.AccountID
 	limit         accountLimit
+	origin        structs.Origin
 
 	lots     []tokenLot
 	spends   []tokenLot
@@ -104,7 +105,7 @@
 	t.sent = t.now()
 	t.l.seq++
 	request := account.GrantRequest{
-		Account: t.id, Origin: t.l.origin(t.host), Seq: t.l.seq, Returned: t.returned,
+		Account: t.id, Origin: t.origin, Seq: t.l.seq, Returned: t.returned,
 		Rate: t.limit.rate, Burst: t.limit.burst,
 	}
 	for _, w := range t.waiters {
