Count failed attempts and wall time against a program's budget

Causes, both seen in whole-site tests: - A call that was sent to a replica and failed is tried at another one. Only one reservation was held, so the engines' tokens of the attempts together exceeded the plan (TestTokensStayInBudget with hanging engines and with foreign answers). A stream could run on for as long as it liked (TestWallTimeAndDepth: a call of 200 s in a plan of 60 s). The owner now tells what is left, and the entry host ends the call then with run: unknown.

--- a/internal/entry/chat_call.go
+++ b/internal/entry/chat_call.go
@@ -31,6 +31,8 @@
 	history    program.BeginResult
 	begunAt    time.Time
 	firstToken time.Duration
+	// tries counts the attempts that may have cost tokens without an answer.
+	tries int
 }
 
 // execute runs the call to its end and answers the caller.
@@ -78,6 +80,12 @@
 		if attempt == maxAttempts || !c.mayRetry(err) {
 			return nil, "", err
 		}
+		if !errors.Is(err, upstream.ErrNotSent) {
+			c.tries++
+			if problem := c.begin(); problem != nil {
+				return nil, "", problem
+			}
+		}
 		request.Exclude = append(request.Exclude, slot.Replica)
 	}
 }
@@ -106,12 +114,7 @@
 func (c *chatCall) begin() *structs.Problem {
 	if !c.program.named() {
 		c.history.PromptTokens = c.request.promptTokens()
-		limit := c.caller.plan.Budget.Tokens
-		if limit > 0 && c.history.PromptTokens+c.maxTokens > limit {
-			return newProblem(http.StatusPaymentRequired, "budget-exhausted",
-				fmt.Sprintf("the request may cost more than the %d tokens that the plan allows a program", limit))
-		}
-		return nil
+		return c.beginUnnamed()
 	}
 	ctx, span := c.server.options.Tracer.Start(c.waiting, "entry.begin")
 	defer span.End()
@@ -124,6 +127,7 @@
 		Depth:     c.program.depth,
 		Messages:  c.request.messages,
 		MaxTokens: c.maxTokens,
+		Attempt:   c.tries,
 		Budget:    c.caller.plan.Budget,
 	})
 	if err != nil {
@@ -142,6 +146,20 @@
 	return nil
 }
 
+// beginUnnamed checks the budget of a call without a program.
+func (c *chatCall) beginUnnamed() *structs.Problem {
+	budget := c.caller.plan.Budget
+	cost := int64(c.tries+1) * (c.history.PromptTokens + c.maxTokens)
+	if budget.Tokens > 0 && cost > budget.Tokens {
+		return c.keepTrue(newProblem(http.StatusPaymentRequired, "budget-exhausted",
+			fmt.Sprintf("the request may cost more than the %d tokens that the plan allows a program", budget.Tokens)))
+	}
+	if c.begunAt.IsZero() {
+		c.begunAt, c.history.Left = time.Now(), budget.Wall
+	}
+	return nil
+}
+
 // slotRequest asks for a slot for this call.
 func (c *chatCall) slotRequest() dispatch.Request {
 	messages := c.request.messages
@@ -199,12 +217,19 @@
 }
 
 // sending returns the context of the upstream call. A claimed call is carried to
-// its end when its caller goes.
+// its end when its caller goes. The program's wall time ends any call.
 func (c *chatCall) sending() (context.Context, context.CancelFunc) {
-	if c.claim == nil {
-		return context.WithCancel(c.waiting)
+	ctx, cancel := c.waiting, context.CancelFunc(func() {})
+	if c.claim != nil {
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(c.waiting), c.server.options.Limits.Carry)
+	}
+	if c.history.Left <= 0 {
+		ctx, stop := context.WithCancel(ctx)
+		return ctx, func() { stop(); cancel() }
 	}
-	return context.WithTimeout(context.WithoutCancel(c.waiting), c.server.options.Limits.Carry)
+	over := withRun(newProblem(http.StatusPaymentRequired, "budget-exhausted", "the program's wall time ended during the call"), structs.RunUnknown)
+	ctx, stop := context.WithDeadlineCause(ctx, c.begunAt.Add(c.history.Left), over)
+	return ctx, func() { stop(); cancel() }
 }
 
 // send makes the upstream call.
--- a/internal/host/load_test.go
+++ b/internal/host/load_test.go
@@ -224,3 +224,7 @@
 	s.t.Fatal("no host is ready")
 	return nil
 }
+
+func contextFor(limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), limit)
+}
--- a/internal/host/order_history_test.go
+++ b/internal/host/order_history_test.go
@@ -137,6 +137,7 @@
 
 // runFaults runs a load through the faults and their end, and checks it.
 func runFaults(t *testing.T, faults ...siteFault) {
+	t.Parallel()
 	log := &engineLog{}
 	overlap := false
 	runSite(t, siteConfig{accounts: twoLargeAccounts, plans: defaultPlans, wrap: log.wrap}, func(s *site) {
@@ -220,6 +221,7 @@
 // decides when that one ends: before, while or after the waiting calls reach the new
 // owner.
 func waitingCalls(t *testing.T, step time.Duration, fail func(s *site, i int)) {
+	t.Parallel()
 	log := &engineLog{}
 	runSite(t, siteConfig{wrap: log.wrap, engine: engine.Settings{StepBase: step}}, func(s *site) {
 		is := is.New(s.t)
--- a/internal/program/begin.go
+++ b/internal/program/begin.go
@@ -20,6 +20,9 @@
 	MaxTokens int64
 	// Budget is what the account's plan allows a program.
 	Budget structs.Budget
+	// Attempt counts the replicas to which the call may have been sent before. Each of
+	// them may cost the call's largest cost, so a further attempt reserves it again.
+	Attempt int
 	// Waited is how long ago the entry host first asked. A new owner restores the order
 	// of the calls that waited at its predecessor by it.
 	Waited time.Duration
@@ -44,4 +47,6 @@
 	PromptTokens int64
 	// Fence is the fencing number of the call for upstreams that check it.
 	Fence uint64
+	// Left is what is left of the program's wall time; 0 if it has no limit.
+	Left time.Duration
 }
--- a/internal/program/begin_apply.go
+++ b/internal/program/begin_apply.go
@@ -34,6 +34,18 @@
 	return nil
 }
 
+// applyAttempt counts the reservation of the attempt before as spent, since its cost is
+// not known, and reserves again.
+func (s *State) applyAttempt(op *attemptOp) error {
+	r, p := s.find(op.Key)
+	if p == nil || p.Running == nil || p.Running.ID != op.Call {
+		return fmt.Errorf("attempt of %s: %w", op.Call, ErrMalformedOp)
+	}
+	r.Used += p.Running.Reserved
+	p.Running.Attempt = op.Attempt
+	return nil
+}
+
 // applyWindow restarts a dispatch window.
 func (s *State) applyWindow(op *windowOp) {
 	if _, p := s.find(op.Key); p != nil {
--- a/internal/program/begin_decide.go
+++ b/internal/program/begin_decide.go
@@ -62,7 +62,9 @@
 	if err != nil {
 		return BeginOutcome{}, err
 	}
-	return BeginOutcome{Result: beginResult(r, p, op), Op: data}, nil
+	outcome := BeginOutcome{Result: beginResult(r, p, op), Op: data}
+	outcome.Result.Left = wallLeft(r, req.Budget, clock.Now)
+	return outcome, nil
 }
 
 // notInView refuses a host that is not in the owner's view: nothing would end its call
@@ -84,9 +86,8 @@
 // another one, and the dispatch window of a host that left the view.
 func (s *State) mustWait(p *state, req BeginRequest, clock structs.OwnerClock) (BeginOutcome, bool, error) {
 	if p.Running != nil && p.Running.ID == req.Call {
-		r, _ := s.find(req.Key)
-		again := &beginOp{Messages: p.Running.Messages, Number: p.Number, Fence: p.Running.Fence, Prompt: p.Running.Prompt}
-		return BeginOutcome{Result: beginResult(r, p, again)}, true, nil
+		outcome, err := s.beginAgain(p, req, clock)
+		return outcome, true, err
 	}
 	if p.Last == req.Call {
 		problem := &structs.Problem{
@@ -112,6 +113,43 @@
 	return BeginOutcome{}, false, nil
 }
 
+// beginAgain answers a request with the call that runs already. A further attempt at
+// another replica reserves the largest cost again.
+func (s *State) beginAgain(p *state, req BeginRequest, clock structs.OwnerClock) (BeginOutcome, error) {
+	r, _ := s.find(req.Key)
+	running := p.Running
+	again := &beginOp{Messages: running.Messages, Number: p.Number, Fence: running.Fence, Prompt: running.Prompt}
+	outcome := BeginOutcome{Result: beginResult(r, p, again)}
+	outcome.Result.Left = wallLeft(r, req.Budget, clock.Now)
+	if req.Attempt <= running.Attempt {
+		return outcome, nil
+	}
+	if limit := req.Budget.Tokens; limit > 0 && r.Used+r.Reserved+running.Reserved > limit {
+		return BeginOutcome{Result: BeginResult{Problem: budgetExhausted(fmt.Sprintf(
+			"another attempt of the call may cost %d tokens; %d of %d are used and %d reserved",
+			running.Reserved, r.Used, limit, r.Reserved))}}, nil
+	}
+	var err error
+	outcome.Op, err = Op{Attempt: &attemptOp{Key: req.Key, Call: req.Call, Attempt: req.Attempt}}.encode()
+	return outcome, err
+}
+
+// wallLeft returns what is left of a program's wall time, or 0 without a limit. r is
+// nil for a new program.
+func wallLeft(r *root, limits structs.Budget, now time.Time) time.Duration {
+	if limits.Wall <= 0 || r == nil {
+		return limits.Wall
+	}
+	return max(1, limits.Wall-time.Duration(now.UnixNano()-r.Started))
+}
+
+// budgetExhausted is the problem of a call that the budget does not allow.
+func budgetExhausted(detail string) *structs.Problem {
+	return &structs.Problem{
+		Code: "budget-exhausted", Status: http.StatusPaymentRequired, Detail: detail, Run: structs.RunNo,
+	}
+}
+
 // exhausted returns which limit of the budget the call would exceed, or "". final is
 // false if running calls may still give tokens back.
 func exhausted(r *root, req BeginRequest, reserved int64, now time.Time) (detail string, final bool) {
@@ -151,9 +189,7 @@
 	if !final {
 		return BeginOutcome{Busy: true}, nil
 	}
-	outcome := BeginOutcome{Result: BeginResult{Problem: &structs.Problem{
-		Code: "budget-exhausted", Status: http.StatusPaymentRequired, Detail: detail, Run: structs.RunNo,
-	}}}
+	outcome := BeginOutcome{Result: BeginResult{Problem: budgetExhausted(detail)}}
 	if p == nil || len(p.Holders) == 0 {
 		return outcome, nil
 	}
--- a/internal/program/op.go
+++ b/internal/program/op.go
@@ -25,6 +25,7 @@
 	Close    *closeOp          `cbor:"10,keyasint,omitempty"`
 	Lossy    *lossyOp          `cbor:"11,keyasint,omitempty"`
 	Bucket   *account.BucketOp `cbor:"12,keyasint,omitempty"`
+	Attempt  *attemptOp        `cbor:"13,keyasint,omitempty"`
 }
 
 // beginOp begins a call.
@@ -43,6 +44,13 @@
 	At       int64  `cbor:"11,keyasint"`
 }
 
+// attemptOp reserves the cost of a call again, for an attempt at another replica.
+type attemptOp struct {
+	Key     Key            `cbor:"1,keyasint"`
+	Call    structs.CallID `cbor:"2,keyasint"`
+	Attempt int            `cbor:"3,keyasint"`
+}
+
 // settleOp ends a call.
 type settleOp struct {
 	Key     Key               `cbor:"1,keyasint"`
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -92,6 +92,8 @@
 	Messages []structs.Message `cbor:"4,keyasint,omitempty"`
 	Prompt   int64             `cbor:"5,keyasint,omitempty"`
 	Reserved int64             `cbor:"6,keyasint,omitempty"`
+	// Attempt counts the attempts before this one, which count as spent.
+	Attempt int `cbor:"7,keyasint,omitempty"`
 }
 
 // window is a time on the monotonic clock of Owner; another owner cannot compare it.
@@ -143,6 +145,8 @@
 		s.applyReleased(op.Released)
 	case op.Expire != nil:
 		s.applyExpire(op.Expire)
+	case op.Attempt != nil:
+		return s.applyAttempt(op.Attempt)
 	case op.Window != nil:
 		s.applyWindow(op.Window)
 	case op.Open != nil:
