--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -68,6 +68,8 @@
 	keys     map[string]string
 	servers  []*standin.Server
 	closers  []func()
+	// linger is the time that close leaves to what killed hosts still try.
+	linger time.Duration
 }
 
 // runningHost is one host of a site.
@@ -192,6 +194,7 @@
 		t: t, config: config, network: transport.NewMemory(), log: logserver.New(config.log),
 		engines: make(map[string]*engine.Engine), apps: make(map[string]*app.Service),
 		hosts: make(map[structs.HostID]*runningHost), keys: make(map[string]string),
+		linger: settings.Default().Limits.Carry + time.Minute,
 	}
 	s.network.SetUsualDelay(config.delay)
 	s.serve(logIP, s.log)
@@ -404,5 +407,5 @@
 	}
 	// Time stands still after the test's function, so that what killed hosts still try
 	// must end here.
-	time.Sleep(settings.Default().Limits.Carry + time.Minute)
+	time.Sleep(s.linger)
 }
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,8 +28,10 @@
 	cut       map[link]bool
 	delay     map[link]time.Duration
 	// usual is the one-way delay of links without one of their own.
-	usual    time.Duration
-	conns    map[*memoryConn]struct{}
+	usual time.Duration
+	conns map[*memoryConn]struct{}
+	// sent counts the bytes that each IP address has written.
+	sent     map[string]*atomic.Int64
 	nextPort int
 }
 
@@ -44,6 +47,7 @@
 		cut:       make(map[link]bool),
 		delay:     make(map[link]time.Duration),
 		conns:     make(map[*memoryConn]struct{}),
+		sent:      make(map[string]*atomic.Int64),
 		nextPort:  firstMemoryPort,
 	}
 }
@@ -94,6 +98,21 @@
 	m.usual = delay
 }
 
+// Sent returns how many bytes an IP address has written.
+func (m *Memory) Sent(ip string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counterLocked(ip).Load()
+}
+
+// counterLocked returns the counter of an IP address. m.mu is held.
+func (m *Memory) counterLocked(ip string) *atomic.Int64 {
+	if m.sent[ip] == nil {
+		m.sent[ip] = &atomic.Int64{}
+	}
+	return m.sent[ip]
+}
+
 // Kill closes every listener and connection of an IP address, as when its process
 // dies.
 func (m *Memory) Kill(ip string) {
--- a/internal/transport/memory_conn.go
+++ b/internal/transport/memory_conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	client = &memoryConn{net: m, local: local, remote: remote, localIP: localIP, remoteIP: remoteIP, in: down, out: up}
 	server = &memoryConn{net: m, local: remote, remote: local, localIP: remoteIP, remoteIP: localIP, in: up, out: down}
 	m.mu.Lock()
+	up.sent, down.sent = m.counterLocked(localIP), m.counterLocked(remoteIP)
 	m.conns[client] = struct{}{}
 	m.conns[server] = struct{}{}
 	m.mu.Unlock()
@@ -99,6 +101,7 @@
 type memoryPipe struct {
 	net       *Memory
 	from, to  string
+	sent      *atomic.Int64
 	mu        sync.Mutex
 	changed   chan struct{}
 	chunks    []chunk
@@ -175,6 +178,7 @@
 	data := append([]byte(nil), b...)
 	p.chunks = append(p.chunks, chunk{data: data, ready: time.Now().Add(delay)})
 	p.buffered += len(data)
+	p.sent.Add(int64(len(data)))
 	p.broadcastLocked()
 	return len(b), nil
 }
