--- a/internal/fleet/fleettest/appender.go
+++ b/internal/fleet/fleettest/appender.go
@@ -8,8 +8,12 @@
 	"cowslipgw/internal/structs"
 )
 
-// retryEvery is the pause between two tries of an append or read that failed.
-const retryEvery = 100 * time.Millisecond
+const (
+	// retryEvery is the pause between two tries of an append whose answer was lost.
+	retryEvery = 100 * time.Millisecond
+	// outageWait is how long a host waits for the end of an outage between two tries.
+	outageWait = 5 * time.Second
+)
 
 // appender appends for one host and retries with the same ID.
 type appender struct {
@@ -24,10 +28,9 @@
 		if err == nil {
 			return offset, nil
 		}
-		select {
-		case <-ctx.Done():
+		a.log.awaitChange(ctx, retryEvery)
+		if ctx.Err() != nil {
 			return 0, logservice.ErrUnavailable
-		case <-time.After(retryEvery):
 		}
 	}
 }
--- a/internal/fleet/fleettest/follower.go
+++ b/internal/fleet/fleettest/follower.go
@@ -46,10 +46,7 @@
 		case errors.Is(err, logservice.ErrTrimmed):
 			f.trimmed(batch.First)
 		default:
-			select {
-			case <-ctx.Done():
-			case <-time.After(retryEvery):
-			}
+			f.log.awaitChange(ctx, outageWait)
 		}
 	}
 }
--- a/internal/fleet/fleettest/log.go
+++ b/internal/fleet/fleettest/log.go
@@ -107,6 +107,21 @@
 	return offset, nil
 }
 
+// awaitChange waits until the log's content or faults change, ctx ends or the time
+// is over. Hosts that wait out an outage set few timers this way.
+func (l *Log) awaitChange(ctx context.Context, limit time.Duration) {
+	l.mu.Lock()
+	changed := l.changed
+	l.mu.Unlock()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
 // read returns the records after the offset and waits up to a second for one.
 func (l *Log) read(ctx context.Context, host structs.HostID, stream string, after structs.Offset) (logservice.Batch, error) {
 	deadline := time.Now().Add(time.Second)
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -17,8 +17,11 @@
 	callTimeout = time.Second
 	// transferTimeout bounds one call that carries snapshots.
 	transferTimeout = 5 * time.Second
-	// retryPause is the pause between two tries of a replication or recovery.
-	retryPause = 50 * time.Millisecond
+	// retryPause is the first pause between two tries of a replication or recovery. It
+	// doubles up to longestPause, since an outage of the log can leave many partitions
+	// with a dead replica for hours.
+	retryPause   = 50 * time.Millisecond
+	longestPause = time.Second
 	// statusEvery is the time between two questions whether old copies may go.
 	statusEvery = time.Second
 	// keptTables is how many tables a host remembers.
@@ -151,6 +154,20 @@
 	return Sender{Host: m.self, Incarnation: m.incarnation, View: m.numberLocked()}
 }
 
+// pause waits before another try, until the view changes or ctx ends.
+func (m *Manager) pause(ctx context.Context, pause time.Duration) {
+	m.mu.RLock()
+	changed := m.changed
+	m.mu.RUnlock()
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
 // await waits until this host has folded the view or the time is over.
 func (m *Manager) await(view structs.ViewNumber) {
 	timer := time.NewTimer(catchUpWait)
--- a/internal/partition/recovery.go
+++ b/internal/partition/recovery.go
@@ -72,6 +72,7 @@
 func (v *recovery) run() {
 	defer v.cancel()
 	count := len(v.remaining)
+	pause := retryPause
 	for v.ctx.Err() == nil {
 		ids := v.left()
 		if len(ids) == 0 {
@@ -79,7 +80,10 @@
 		}
 		v.activate(v.prepare(ids))
 		v.sendReleases()
-		v.pause(len(v.left()) > 0)
+		if len(v.left()) > 0 {
+			v.m.pause(v.ctx, pause)
+			pause = min(2*pause, longestPause)
+		}
 	}
 	if count > 0 && v.ctx.Err() == nil {
 		v.m.config.Logger.Log(event.PartitionRecovered, event.Fields{
@@ -88,18 +92,6 @@
 	}
 }
 
-func (v *recovery) pause(needed bool) {
-	if !needed {
-		return
-	}
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-v.ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (v *recovery) left() []ID {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/partition/replicate.go
+++ b/internal/partition/replicate.go
@@ -1,10 +1,6 @@
 package partition
 
-import (
-	"time"
-
-	"cowslipgw/internal/fleet"
-)
+import "cowslipgw/internal/fleet"
 
 // maxBatchBytes bounds the operations of one partition in one call. A single
 // operation may be longer.
@@ -36,21 +32,18 @@
 // until none is left or this host does not serve any more. What is proposed while
 // a batch is on its way forms the next one.
 func (m *Manager) replicate(r *replica) {
-	for {
+	pause := retryPause
+	for m.ctx.Err() == nil {
 		b, ok := m.nextBatch(r)
 		if !ok {
 			return
 		}
 		if m.sendBatch(r, b) {
+			pause = retryPause
 			continue
 		}
-		timer := time.NewTimer(retryPause)
-		select {
-		case <-timer.C:
-		case <-m.stopped:
-			timer.Stop()
-			return
-		}
+		m.pause(m.ctx, pause)
+		pause = min(2*pause, longestPause)
 	}
 }
 
--- a/internal/partition/stage_test.go
+++ b/internal/partition/stage_test.go
@@ -210,8 +210,13 @@
 		is.Equal(s.propose(hosts[0], 9, "a", 5*time.Second), partition.ErrNotReady)
 		_, err := s.read(hosts[0], 9, 5*time.Second)
 		is.Equal(err, partition.ErrNotReady)
+		status := s.managers[hosts[0]].Status()
+		is.Equal(status.Serving, 0)
+		is.True(status.Waiting > 0)
 		s.network.Restore(stageIP(hosts[0]), stageIP(hosts[2]))
 		is.NoErr(s.propose(hosts[0], 9, "a", 5*time.Second))
+		time.Sleep(time.Second)
+		is.Equal(s.managers[hosts[0]].Status(), partition.Status{View: view.Number, Serving: status.Waiting, Copies: partition.Count})
 	})
 }
 
