Keep to a program's cache when no dispatcher answers

Idea: in the 4 s without a dispatcher hosts spread programs at random and all their prompts are computed again. A host now takes the replica that holds the cache if it has a free slot, and else the less loaded of two random ones.

--- a/internal/bench/cluster_dispatch.go
+++ b/internal/bench/cluster_dispatch.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"slices"
 	"time"
 
 	"cowslipgw/internal/sched"
@@ -137,12 +138,17 @@
 	c.sim.after(2*c.deployment.HostDelay, func() { c.enqueue(call) })
 }
 
-// chooseLocally is what a host does without a dispatcher: the less loaded of two
-// random live replicas by the last report and the host's own calls.
+// chooseLocally is what a host does without a dispatcher: the replica with the
+// program's cache if it has room, or else the less loaded of two random live ones,
+// by the last report and the host's own calls.
 func (c *cluster) chooseLocally(call *callRun) {
 	if _, waits := c.waiting[call.id]; !waits || c.dispatcherUp || call.closed {
 		return
 	}
+	if holder, ok := c.holderWithRoom(call); ok {
+		c.dispatch(call, holder)
+		return
+	}
 	first, second := c.randomReplica(), c.randomReplica()
 	if c.localLoad(call.host, second) < c.localLoad(call.host, first) {
 		first = second
@@ -150,6 +156,17 @@
 	c.dispatch(call, first)
 }
 
+// holderWithRoom returns the replica that holds the program's cache if it is listed
+// as live and its load is below its slots.
+func (c *cluster) holderWithRoom(call *callRun) (int, bool) {
+	if len(call.run.holders) == 0 || slices.Contains(call.exclude, call.run.holders[0]) {
+		return 0, false
+	}
+	index := c.replicaIndex(call.run.holders[0])
+	r := c.engines[index]
+	return index, r.listed && !r.leaving && c.localLoad(call.host, index) < c.deployment.Engine.Slots
+}
+
 // randomReplica picks a replica that the host list shows as live.
 func (c *cluster) randomReplica() int {
 	for {
--- a/internal/dispatch/client_local.go
+++ b/internal/dispatch/client_local.go
@@ -8,8 +8,9 @@
 	"cowslipgw/internal/upstream"
 )
 
-// chooseLocally picks a replica without a dispatcher: the less loaded of two
-// random live ones, by the last report and this host's own calls in flight.
+// chooseLocally picks a replica without a dispatcher: the one that holds the
+// program's cache if it has room, or else the less loaded of two random live ones,
+// by the last report and this host's own calls in flight.
 func (c *Client) chooseLocally(request Request) (Slot, error) {
 	live := c.liveReplicas(request)
 	if len(live) == 0 {
@@ -17,19 +18,41 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first := live[rand.IntN(len(live))]
-	second := live[rand.IntN(len(live))]
-	if c.loadLocked(second) < c.loadLocked(first) {
-		first = second
+	chosen, ok := c.holderWithRoomLocked(request, live)
+	if !ok {
+		chosen = c.lessLoadedLocked(live[rand.IntN(len(live))], live[rand.IntN(len(live))])
 	}
-	c.inFlight[request.Call] = Running{Request: request, Replica: first.ID}
-	c.options.Log.Log(event.DispatcherSilent, event.Fields{"pool": request.Pool, "call": request.Call, "replica": first.ID})
+	c.inFlight[request.Call] = Running{Request: request, Replica: chosen.ID}
+	c.options.Log.Log(event.DispatcherSilent, event.Fields{"pool": request.Pool, "call": request.Call, "replica": chosen.ID})
 	return Slot{
-		Pool: request.Pool, Replica: first.ID, Address: first.Address,
+		Pool: request.Pool, Replica: chosen.ID, Address: chosen.Address,
 		Dispatcher: c.options.Origin().Host, Call: request.Call,
 	}, nil
 }
 
+// holderWithRoomLocked returns the latest holder of the program's cache if it is live
+// and its load is below its slots, as far as they are known.
+func (c *Client) holderWithRoomLocked(request Request, live []upstream.Replica) (upstream.Replica, bool) {
+	if len(request.Holders) == 0 {
+		return upstream.Replica{}, false
+	}
+	for _, replica := range live {
+		if replica.ID != request.Holders[0] {
+			continue
+		}
+		load, _ := c.options.Directory.Load(replica.ID)
+		return replica, load.Slots == 0 || c.loadLocked(replica) < load.Slots
+	}
+	return upstream.Replica{}, false
+}
+
+func (c *Client) lessLoadedLocked(a, b upstream.Replica) upstream.Replica {
+	if c.loadLocked(b) < c.loadLocked(a) {
+		return b
+	}
+	return a
+}
+
 // liveReplicas returns the replicas that may take the call.
 func (c *Client) liveReplicas(request Request) []upstream.Replica {
 	var live []upstream.Replica
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -175,3 +175,25 @@
 		is.Equal(next.Replica, structs.ReplicaID("r0"))
 	})
 }
+
+// TestLocalChoiceByCache guards against a local choice that drops a program's cache,
+// and against one that overloads the replica that holds it.
+func TestLocalChoiceByCache(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 4, 2, DefaultLimits())
+		f.owners.set("")
+		counts := make(map[structs.ReplicaID]int)
+		for i := range 8 {
+			r := request(0, i)
+			r.Holders = []structs.ReplicaID{"r2"}
+			slot, err := f.clients[0].Acquire(t.Context(), r)
+			is.NoErr(err)
+			counts[slot.Replica]++
+			if i == 1 {
+				is.Equal(counts["r2"], 2)
+			}
+		}
+		is.True(counts["r2"] < 8)
+	})
+}
