--- a/internal/host/engine_log_test.go
+++ b/internal/host/engine_log_test.go
@@ -52,6 +52,17 @@
 	})
 }
 
+// wrapAll records the requests for work to one replica of any kind.
+func (l *engineLog) wrapAll(replica string, next http.Handler) http.Handler {
+	chat := l.wrap(replica, next)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/pickups" {
+			defer l.add(replica, r.Header, nil, w.Header())()
+		}
+		chat.ServeHTTP(w, r)
+	})
+}
+
 func (l *engineLog) add(replica string, header http.Header, body []byte, answer http.Header) (ended func()) {
 	var request struct{ Messages []structs.Message }
 	_ = json.Unmarshal(body, &request)
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -49,6 +49,8 @@
 	delay time.Duration
 	// logTo gets the hosts' events; nil for none.
 	logTo io.Writer
+	// adjust changes the settings of each host; nil for the defaults.
+	adjust func(*settings.Host)
 	// wrap puts a handler in front of each replica; nil for none.
 	wrap func(replica string, next http.Handler) http.Handler
 }
@@ -288,6 +290,9 @@
 	config.EntryAddress, config.AdminAddress, config.ControlAddress = ip+":80", ip+":81", ip+":82"
 	config.Platform = settings.Platform{Log: logIP + ":80", HostList: hostListIP + ":80"}
 	config.Upstream.Credential = credential
+	if s.config.adjust != nil {
+		s.config.adjust(&config)
+	}
 	logger := event.New(s.config.logTo, true, 5)
 	tracer, err := trace.New(context.Background(), trace.Options{})
 	if err != nil {
@@ -394,7 +399,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
-	// A killed host's settlements go on until their time is over; its process would have
-	// taken them along.
-	time.Sleep(settings.Default().Limits.Settle)
+	// A killed host's settlement and then its claim's end are tried until their time is
+	// over; its process would have taken them along.
+	time.Sleep(3 * settings.Default().Limits.Settle)
 }
