Decide under the partition's lock whether a waiting call may begin

About half of 40 runs of TestWaitingCallsKeepOrderWhenOwnerDies (owner killed, another host cut from the log) failed: a call that reached the new owner before its partition was active passed the check for waiting calls before there was anything to wait for, then began as soon as the partition was active.

--- a/internal/owner/begin.go
+++ b/internal/owner/begin.go
@@ -47,14 +47,7 @@
 		case <-again:
 		}
 		again = nil
-		if !pending.ticket.First() {
-			continue
-		}
-		if left := s.takeovers.left(request.Key, request.Call, time.Now()); left > 0 {
-			again = time.After(left)
-			continue
-		}
-		outcome, err := s.decideBegin(ctx, request)
+		outcome, err := s.decideBegin(ctx, request, pending.ticket)
 		if err != nil {
 			// The place is kept: the next question goes on where this one failed.
 			s.pauseAsking(pending)
@@ -70,9 +63,16 @@
 	}
 }
 
-func (s *Service) decideBegin(ctx context.Context, request program.BeginRequest) (program.BeginOutcome, error) {
+// decideBegin decides once the partition is active. Only then it is known whether the
+// call is still the first, and whether others may be on their way from another owner.
+func (s *Service) decideBegin(ctx context.Context, request program.BeginRequest, ticket *program.Ticket) (program.BeginOutcome, error) {
 	var outcome program.BeginOutcome
 	err := s.propose(ctx, PartitionOfProgram(request.Key), func(state *program.State) ([]byte, error) {
+		left := s.takeovers.left(request.Key, request.Call, time.Now())
+		if left > 0 || !ticket.First() {
+			outcome = program.BeginOutcome{Busy: true, RetryAfter: left}
+			return nil, nil
+		}
 		var err error
 		outcome, err = state.DecideBegin(request, s.inView, s.clock())
 		return outcome.Op, err
--- a/internal/owner/takeovers.go
+++ b/internal/owner/takeovers.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -38,9 +39,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(running) == 0 {
-		delete(t.partitions, id)
+		// Calls may still be on their way from the predecessor of the last view.
 		return
 	}
+	if before, held := t.partitions[id]; held && now.Before(before.until) {
+		maps.Copy(before.running, running)
+		running = before.running
+	}
 	t.partitions[id] = takeover{until: now.Add(takeoverWait), running: running}
 }
 
