Keep checkpoints of partitions in the log and restore lost ones

Each entry names its activated view and sequence, so that an older one never replaces a newer one. Hosts follow the stream and keep an index only. When all copies of a partition are lost, the owner restores the newest whole checkpoint unless the copy that was found is newer. A call or claim that was open in the restored state may have ended since and nobody would end it again, so both now count as unknown when a partition is marked lossy. partition.Config.Lost gets the base of the copy found.

--- /dev/null
+++ b/internal/checkpoint/entry.go
@@ -0,0 +1,56 @@
+package checkpoint
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cowslipgw/internal/partition"
+)
+
+const (
+	// Stream is the log's stream of checkpoints.
+	Stream = "checkpoint"
+	// maxRecordBytes limits the data of one record. The log's protocol makes it a third
+	// longer (base64), which stays below 1 MiB.
+	maxRecordBytes = 512 << 10
+	// entryOverhead bounds what the encoding adds to the state of one entry.
+	entryOverhead = 64
+	// maxPieces bounds the pieces of one state: 512 MiB.
+	maxPieces = 1024
+)
+
+// entry is the state of one partition, or a piece of it if it is too long for a record.
+type entry struct {
+	Partition partition.ID   `cbor:"1,keyasint"`
+	Base      partition.Base `cbor:"2,keyasint"`
+	Piece     int            `cbor:"3,keyasint,omitempty"`
+	Pieces    int            `cbor:"4,keyasint"`
+	State     []byte         `cbor:"5,keyasint"`
+}
+
+// decode returns the entries of a record.
+func decode(data []byte) ([]entry, error) {
+	var entries []entry
+	if err := cbor.Unmarshal(data, &entries); err != nil {
+		return nil, fmt.Errorf("decode checkpoint: %w", err)
+	}
+	for _, e := range entries {
+		if e.Partition >= partition.Count || e.Pieces < 1 || e.Pieces > maxPieces || e.Piece < 0 || e.Piece >= e.Pieces {
+			return nil, fmt.Errorf("checkpoint of partition %d has piece %d of %d", e.Partition, e.Piece, e.Pieces)
+		}
+	}
+	return entries, nil
+}
+
+// split divides a state into entries that fit into a record each.
+func split(id partition.ID, base partition.Base, state []byte) []entry {
+	const most = maxRecordBytes - 2*entryOverhead
+	pieces := max(1, (len(state)+most-1)/most)
+	entries := make([]entry, 0, pieces)
+	for i := range pieces {
+		part := state[i*most : min(len(state), (i+1)*most)]
+		entries = append(entries, entry{Partition: id, Base: base, Piece: i, Pieces: pieces, State: part})
+	}
+	return entries
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"time"
 
 	"github.com/samber/oops"
 
 	"cowslipgw/internal/account"
+	"cowslipgw/internal/checkpoint"
 	"cowslipgw/internal/control"
 	"cowslipgw/internal/dispatch"
 	"cowslipgw/internal/entry"
@@ -40,6 +42,7 @@
 	controlClient *control.Client
 	controlServer *control.Server
 	manager       *partition.Manager
+	checkpoints   *checkpoint.Store
 	service       *owner.Service
 	owners        *owner.Client
 	sweeper       *owner.Sweeper
@@ -158,6 +161,13 @@
 	h.service = owner.NewService(owner.Options{
 		Proposer: h.manager, Viewer: h.member, Origin: h.origin, Rates: limitsOf(h.store),
 	})
+	h.checkpoints = checkpoint.New(checkpoint.Options{
+		Log: h.log, Appender: h.appender, Owned: h.manager,
+		Empty:     func(machine partition.Machine) bool { return program.FromMachine(machine).Empty() },
+		Share:     h.checkpointShare,
+		Retention: logRetention,
+		Logger:    h.options.Logger,
+	})
 	router := owner.NewRouter(h.locator(), h.controlClient)
 	h.owners = owner.NewClient(router, h.service)
 	h.limiter = account.NewLimiter(h.owners, h.origin)
@@ -228,9 +238,29 @@
 // AdminAddress returns the "ip:port" that operators connect to.
 func (h *Host) AdminAddress() string { return h.listeners.admin.Addr().String() }
 
-// partitionLost marks a partition whose copies may all be gone, so that idempotency
-// keys of before are answered as unknown.
-func (h *Host) partitionLost(id partition.ID, machine partition.Machine) {
-	h.options.Logger.Log(event.CopiesLost, event.Fields{"partition": id})
+// checkpointShare returns how many appends a second this host makes for checkpoints:
+// half of its share of the log, so that membership and lists are never held up.
+func (h *Host) checkpointShare() float64 {
+	return logservice.FleetAppends / 2 / float64(max(1, len(h.member.View().Hosts)))
+}
+
+// partitionLost restores a partition whose copies may all be gone from the newest
+// checkpoint, and marks it, so that idempotency keys of after the checkpoint are
+// answered as unknown.
+func (h *Host) partitionLost(id partition.ID, base partition.Base, machine partition.Machine) {
+	fields := event.Fields{"partition": id}
+	h.options.Logger.Log(event.CopiesLost, fields)
+	restored, state, err := h.checkpoints.Restore(id, base)
+	if err == nil {
+		err = machine.Restore(state)
+	}
+	switch {
+	case err == nil:
+		fields["view"], fields["seq"] = restored.Activated, restored.Seq
+		h.options.Logger.Log(event.CheckpointRestored, fields)
+	case !errors.Is(err, checkpoint.ErrNotFound):
+		fields["error"] = err.Error()
+		h.options.Logger.Log(event.CheckpointMissing, fields)
+	}
 	h.service.MarkLossy(machine)
 }
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -60,6 +60,7 @@
 	}
 	run(h.member.Run)
 	run(h.manager.Run)
+	run(h.checkpoints.Run)
 	run(h.service.Run)
 	run(h.owners.Run)
 	run(h.sweeper.Run)
--- a/internal/partition/cluster_test.go
+++ b/internal/partition/cluster_test.go
@@ -56,7 +56,7 @@
 		Views:  h.Member,
 		Caller: h.Client,
 		New:    func(partition.ID) partition.Machine { return &journal{} },
-		Lost: func(id partition.ID, _ partition.Machine) {
+		Lost: func(id partition.ID, _ partition.Base, _ partition.Machine) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.lost[id]++
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -36,9 +36,9 @@
 	// its owner. It must not block.
 	Activated func(ID, Machine)
 	// Lost is called when a partition may have lost all copies of its newest state. The
-	// machine holds the best copy found, or is empty; the host restores what it can. No
-	// lock is held and no operation runs on the machine meanwhile.
-	Lost func(ID, Machine)
+	// machine holds the best copy found, which has the base, or is empty; the host
+	// restores what it can. No lock is held and no operation runs on the machine meanwhile.
+	Lost func(ID, Base, Machine)
 }
 
 // Manager holds this host's copies of the partitions and runs operations at the
@@ -75,7 +75,7 @@
 		config.Activated = func(ID, Machine) {}
 	}
 	if config.Lost == nil {
-		config.Lost = func(ID, Machine) {}
+		config.Lost = func(ID, Base, Machine) {}
 	}
 	m := &Manager{config: config, self: config.Views.Self(), changed: make(chan struct{})}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
--- a/internal/partition/messages.go
+++ b/internal/partition/messages.go
@@ -39,8 +39,8 @@
 	Seq       uint64
 }
 
-// before orders bases by how much they include.
-func (b Base) before(other Base) bool {
+// Before orders bases by how much they include.
+func (b Base) Before(other Base) bool {
 	if b.Activated != other.Activated {
 		return b.Activated < other.Activated
 	}
--- a/internal/partition/owned.go
+++ b/internal/partition/owned.go
@@ -54,3 +54,25 @@
 	}
 	return ids
 }
+
+// VisitBases is Visit with the base of each partition's state.
+func (m *Manager) VisitBases(visit func(ID, Base, Machine)) {
+	for _, r := range m.replicas {
+		// The replica's lock is held by visitOne.
+		m.visitOne(r, func(id ID, machine Machine) { visit(id, r.base, machine) })
+	}
+}
+
+// CopyOf returns the base and the state of a partition that this host serves as the
+// owner; false when it does not.
+func (m *Manager) CopyOf(id ID) (base Base, state []byte, ok bool) {
+	m.visitOne(m.replicas[id], func(_ ID, machine Machine) {
+		snapshot, err := machine.Snapshot()
+		if err != nil {
+			m.logBroken(id, err)
+			return
+		}
+		base, state, ok = m.replicas[id].base, snapshot, true
+	})
+	return base, state, ok
+}
--- a/internal/partition/recovery.go
+++ b/internal/partition/recovery.go
@@ -189,7 +189,7 @@
 func (v *recovery) ownSurvey(id ID) *survey {
 	s := newSurvey(id)
 	s.answered[v.m.self] = true
-	if own, found := v.m.copyOf(v.m.replicas[id], false); found {
+	if own, found := v.m.copyOfReplica(v.m.replicas[id], false); found {
 		s.add(v.m.self, own)
 	}
 	return s
--- a/internal/partition/recovery_state.go
+++ b/internal/partition/recovery_state.go
@@ -75,7 +75,7 @@
 		})
 	}
 	machine := v.m.config.New(s.id)
-	if own, found := v.m.copyOf(r, true); found {
+	if own, found := v.m.copyOfReplica(r, true); found {
 		if err := machine.Restore(own.Snapshot); err != nil {
 			v.m.logBroken(s.id, err)
 		}
@@ -86,7 +86,7 @@
 // adoptLost restores what it can of a partition that may have lost its newest
 // state.
 func (v *recovery) adoptLost(best Copy, machine Machine) bool {
-	v.m.config.Lost(best.ID, machine)
+	v.m.config.Lost(best.ID, best.Base, machine)
 	return v.withReplica(best.ID, func(r *replica) bool {
 		r.machine = machine
 		r.base.Seq = best.Base.Seq
--- a/internal/partition/service.go
+++ b/internal/partition/service.go
@@ -110,7 +110,7 @@
 
 func (m *Manager) installLocked(r *replica, from Sender, item *InstallItem) Code {
 	state := Base{Activated: item.Activated, Seq: item.Seq}
-	if r.machine != nil && !r.base.before(state) {
+	if r.machine != nil && !r.base.Before(state) {
 		return CodeOK
 	}
 	machine := m.config.New(r.id)
@@ -141,7 +141,7 @@
 		if id >= Count || size >= maxFetchBytes {
 			break
 		}
-		if copied, found := m.copyOf(m.replicas[id], request.Snapshots); found {
+		if copied, found := m.copyOfReplica(m.replicas[id], request.Snapshots); found {
 			size += len(copied.Snapshot)
 			reply.Copies = append(reply.Copies, copied)
 		}
@@ -149,7 +149,7 @@
 	return nil
 }
 
-func (m *Manager) copyOf(r *replica, snapshot bool) (Copy, bool) {
+func (m *Manager) copyOfReplica(r *replica, snapshot bool) (Copy, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.machine == nil {
--- a/internal/partition/survey.go
+++ b/internal/partition/survey.go
@@ -36,7 +36,7 @@
 		valid = max(valid, s.best.Valid)
 	}
 	switch {
-	case s.holder == "" || s.best.Base.before(found.Base):
+	case s.holder == "" || s.best.Base.Before(found.Base):
 		s.best = found
 		s.holder = host
 		s.best.Valid = valid
--- a/internal/program/expire.go
+++ b/internal/program/expire.go
@@ -69,12 +69,38 @@
 // keeps program numbers unique.
 func (s *State) DecideLossy(view structs.ViewNumber, clock structs.OwnerClock) ([]byte, error) {
 	return Op{Lossy: &lossyOp{
+		Now:     clock.Now.UnixNano(),
 		Until:   clock.Now.Add(s.limits.Retention).UnixNano(),
 		At:      window{Owner: clock.Self, Until: clock.Mono},
 		Counter: max(s.counter, uint64(view)<<epochBits) & (1<<counterBits - 1),
 	}}.encode()
 }
 
+// applyLossy marks the state. A call or claim that was open in the restored state may
+// have ended since, and nobody would end it again; it counts as unknown.
+func (s *State) applyLossy(op *lossyOp) {
+	s.lossyUntil = op.Until
+	s.lossyAt = op.At
+	s.counter = op.Counter
+	for _, key := range s.keys() {
+		r, p := s.find(key)
+		if p == nil || p.Running == nil {
+			continue
+		}
+		r.finish(p, structs.OutcomeUnknown, 0, op.Now)
+		p.Window = window{Owner: op.At.Owner, Until: op.At.Until + DispatchWindow}
+		p.Lost = true
+		if p.Ending {
+			s.applyEnd(key)
+		}
+	}
+	for _, c := range s.claims {
+		if c.Outcome == 0 {
+			c.Outcome = structs.OutcomeUnknown
+		}
+	}
+}
+
 // Lossy reports whether copies were lost within the retention.
 func (s *State) Lossy() bool {
 	return s.lossyUntil != 0
--- a/internal/program/op.go
+++ b/internal/program/op.go
@@ -112,6 +112,7 @@
 	Until   int64  `cbor:"1,keyasint"`
 	Counter uint64 `cbor:"2,keyasint"`
 	At      window `cbor:"3,keyasint"`
+	Now     int64  `cbor:"9,keyasint,omitempty"`
 }
 
 // encoding writes maps in one order, so that equal states have equal snapshots.
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -154,9 +154,7 @@
 	case op.Close != nil:
 		return s.applyClose(op.Close)
 	case op.Lossy != nil:
-		s.lossyUntil = op.Lossy.Until
-		s.lossyAt = op.Lossy.At
-		s.counter = op.Lossy.Counter
+		s.applyLossy(op.Lossy)
 	case op.Bucket != nil:
 		s.buckets.Apply(op.Bucket)
 	default:
