--- a/internal/checkpoint/entry.go
+++ b/internal/checkpoint/entry.go
@@ -29,6 +29,11 @@
 	State     []byte         `cbor:"5,keyasint"`
 }
 
+// encode returns the data of a record.
+func encode(entries []entry) ([]byte, error) {
+	return cbor.Marshal(entries)
+}
+
 // decode returns the entries of a record.
 func decode(data []byte) ([]entry, error) {
 	var entries []entry
--- a/internal/checkpoint/store.go
+++ b/internal/checkpoint/store.go
@@ -76,6 +76,8 @@
 	follower *logservice.Follower
 	// written is used by the writer only.
 	written map[partition.ID]written
+	// excess is by how many appends the last round exceeded its share.
+	excess  int
 	appends atomic.Int64
 	bytes   atomic.Int64
 
@@ -129,7 +131,7 @@
 func (s *Store) Restore(id partition.ID, base partition.Base) (partition.Base, []byte, error) {
 	for {
 		found, state, err := s.tryRestore(id, base)
-		if err == nil || errors.Is(err, ErrNotFound) || s.waitedEnough() {
+		if err == nil || errors.Is(err, ErrNotFound) || errors.Is(err, logservice.ErrTrimmed) || s.waitedEnough() {
 			return found, state, err
 		}
 		time.Sleep(restorePause)
--- a/internal/checkpoint/writer.go
+++ b/internal/checkpoint/writer.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/partition"
 )
@@ -28,11 +26,11 @@
 // gets old, those first whose last one is the oldest. What exceeds the share of appends
 // waits for the next round.
 func (s *Store) write(ctx context.Context) {
-	limit := max(1, int(s.options.Share()*s.options.Interval.Seconds()))
+	limit := max(1, int(s.options.Share()*s.options.Interval.Seconds())-s.excess)
 	var entries []entry
 	size, appends, left := 0, 0, 0
 	for _, d := range s.due(time.Now()) {
-		if appends >= limit || ctx.Err() != nil {
+		if appends+1 >= max(2, limit) || ctx.Err() != nil {
 			left++
 			continue
 		}
@@ -51,7 +49,10 @@
 	}
 	if size > 0 {
 		s.append(ctx, entries)
+		appends++
 	}
+	// A state of many pieces may exceed the limit; the next rounds make up for it.
+	s.excess = max(0, appends-limit)
 	if left > 0 && ctx.Err() == nil {
 		s.options.Logger.Log(event.CheckpointBehind, event.Fields{"partitions": left})
 	}
@@ -82,7 +83,7 @@
 // append appends one record. A record that may not be in the log is written again in
 // the next round, since its partitions stay due.
 func (s *Store) append(ctx context.Context, entries []entry) {
-	data, err := cbor.Marshal(entries)
+	data, err := encode(entries)
 	if err == nil {
 		_, err = s.options.Appender.Append(ctx, Stream, rand.Text(), data)
 	}
