--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -35,6 +35,8 @@
 	waiting  *program.Waiting
 	// takeovers is a leaf lock, taken under the partition's.
 	takeovers *takeovers
+	// active are the calls of this host, as the client of owners.
+	active *activeCalls
 
 	mu     sync.Mutex
 	begins map[structs.CallID]*pendingBegin
@@ -51,6 +53,7 @@
 		started:   time.Now(),
 		waiting:   program.NewWaiting(),
 		takeovers: newTakeovers(),
+		active:    newActiveCalls(),
 		begins:    make(map[structs.CallID]*pendingBegin),
 	}
 }
--- a/internal/owner/sweeper.go
+++ b/internal/owner/sweeper.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/fleet"
 	"cowslipgw/internal/partition"
 	"cowslipgw/internal/program"
 	"cowslipgw/internal/structs"
@@ -43,6 +44,8 @@
 
 // SweeperOptions set up a Sweeper.
 type SweeperOptions struct {
+	// Control calls other hosts.
+	Control   fleet.Caller
 	Directory Replicas
 	Orders    Orders
 	Logger    *event.Logger
@@ -92,6 +95,9 @@
 	if expire {
 		s.lastCheck = now
 	}
+	if expire {
+		s.audit(ctx)
+	}
 	found := s.look(expire)
 	for _, id := range found.abandoned {
 		s.propose(ctx, id, func(state *program.State) ([]byte, error) {
--- a/internal/partition/stage_test.go
+++ b/internal/partition/stage_test.go
@@ -90,7 +90,7 @@
 			Views:  v,
 			Caller: client,
 			New:    func(partition.ID) partition.Machine { return &journal{} },
-			Lost:   func(partition.ID, partition.Machine) { s.lost++ },
+			Lost:   func(partition.ID, partition.Base, partition.Machine) { s.lost++ },
 		})
 		s.views[host.ID], s.managers[host.ID], s.clients[host.ID] = v, manager, client
 		if err := server.Register(partition.ServiceName, partition.NewService(manager)); err != nil {
