Plan which replica of a pool holds which model

The owner of a pool's partition orders its engines to load models by demand. The dispatcher now counts its demand by model.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -28,6 +28,8 @@
 	slots   map[structs.CallID]*heldSlot
 	// queued counts the waiting calls of each account.
 	queued map[structs.AccountID]int
+	// rates are the generated tokens by model.
+	rates  map[string]*tokenRate
 	ticket uint64
 	closed bool
 }
@@ -63,6 +65,7 @@
 		waiters:   make(map[structs.CallID]*waiter),
 		slots:     make(map[structs.CallID]*heldSlot),
 		queued:    make(map[structs.AccountID]int),
+		rates:     make(map[string]*tokenRate),
 		ticket:    uint64(o.Term) << termBits,
 	}
 }
@@ -124,7 +127,7 @@
 		Pool: p.name, Replica: a.Replica, Address: address,
 		Ticket: p.ticket, Dispatcher: p.host, Call: a.Call.ID,
 	}
-	held := &heldSlot{slot: slot, origin: w.request.Origin, since: time.Now(), claimed: w.asking > 0}
+	held := &heldSlot{slot: slot, origin: w.request.Origin, model: w.request.Model, since: time.Now(), claimed: w.asking > 0}
 	p.slots[a.Call.ID] = held
 	w.finish(AcquireReply{State: StateGranted, Slot: slot})
 }
--- a/internal/dispatch/pool_release.go
+++ b/internal/dispatch/pool_release.go
@@ -19,6 +19,9 @@
 		w.finish(AcquireReply{State: StateRefused, Problem: noReplicaInTime(p.name, p.limits.Wait)})
 		return
 	}
+	if held := p.slots[call]; held != nil {
+		p.countTokensLocked(held.model, result.Usage.CompletionTokens)
+	}
 	p.freeLocked(call, toFinish(result))
 	p.assignLocked()
 }
@@ -69,7 +72,7 @@
 	}
 	p.policy.Adopt(toCall(running.Request, p.now()), running.Replica, p.now())
 	slot := Slot{Pool: p.name, Replica: running.Replica, Dispatcher: p.host, Call: id}
-	p.slots[id] = &heldSlot{slot: slot, origin: origin, since: time.Now(), claimed: true}
+	p.slots[id] = &heldSlot{slot: slot, origin: origin, model: running.Request.Model, since: time.Now(), claimed: true}
 }
 
 // Retain frees the slots and ends the waits of hosts that are gone from the view
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -30,6 +30,7 @@
 	slot   Slot
 	origin structs.Origin
 	since  time.Time
+	model  string
 	// claimed is set once the slot was handed to a question that was open.
 	claimed bool
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"cowslipgw/internal/logservice"
 	"cowslipgw/internal/owner"
 	"cowslipgw/internal/partition"
+	"cowslipgw/internal/placement"
 	"cowslipgw/internal/program"
 	"cowslipgw/internal/structs"
 	"cowslipgw/internal/upstream"
@@ -48,6 +49,7 @@
 	directory  *upstream.Directory
 	dispatcher *dispatch.Client
 	pools      *dispatch.Service
+	placement  *placement.Runner
 
 	fresh   *freshness
 	entry   *entry.Server
@@ -191,6 +193,7 @@
 	h.sweeper = owner.NewSweeper(h.service, owner.SweeperOptions{
 		Directory: h.directory, Orders: h.upstreams, Logger: h.options.Logger,
 	})
+	h.wirePlacement()
 }
 
 // wireEntry sets up the servers for callers and operators.
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -65,6 +65,7 @@
 	run(h.owners.Run)
 	run(h.sweeper.Run)
 	run(h.dispatcher.Run)
+	run(h.placement.Run)
 	run(h.fresh.run)
 	run(h.snapshots.run)
 	run(h.followView)
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -51,6 +51,12 @@
 	LoadPoll time.Duration
 	// AnswerLimit bounds an answer that is held in memory, in bytes.
 	AnswerLimit int64
+	// WeightRate is what the weight store sends in bytes a second to the whole fleet; 0
+	// gives no load orders. ModelSize is the size of a model in bytes.
+	WeightRate int64
+	ModelSize  int64
+	// ModelsPerReplica is how many models an engine holds at once.
+	ModelsPerReplica int64
 }
 
 // Limits bound what callers can make the host do, and how long state is kept.
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -50,6 +50,9 @@
 	{"upstream", "poll_interval", "1s", false, duration(func(h *Host) *time.Duration { return &h.Upstream.Poll }, 100*time.Millisecond, 1500*time.Millisecond)},
 	{"upstream", "load_interval", "500ms", false, duration(func(h *Host) *time.Duration { return &h.Upstream.LoadPoll }, 50*time.Millisecond, 1500*time.Millisecond)},
 	{"upstream", "answer_limit", "16MiB", false, count(func(h *Host) *int64 { return &h.Upstream.AnswerLimit }, "bytes", 1024, gibi)},
+	{"upstream", "weight_rate", "1GiB", false, count(func(h *Host) *int64 { return &h.Upstream.WeightRate }, "bytes", 0, 1024*gibi)},
+	{"upstream", "model_size", "16GiB", false, count(func(h *Host) *int64 { return &h.Upstream.ModelSize }, "bytes", 1024, 16*1024*gibi)},
+	{"upstream", "models_per_replica", "1", false, count(func(h *Host) *int64 { return &h.Upstream.ModelsPerReplica }, "models", 1, 1024)},
 
 	{"limits", "body", "16MiB", false, count(func(h *Host) *int64 { return &h.Limits.Body }, "bytes", 1024, gibi)},
 	{"limits", "app_buffer", "1MiB", false, count(func(h *Host) *int64 { return &h.Limits.AppBuffer }, "bytes", 0, gibi)},
