Keep calls away from an engine that replaces its models

The report of a full engine names models that it may have dropped for the one that it was ordered to load; a call for one of them gets 404 from the engine. The dispatchers of the planning host now see no model at such an engine until it reports the new one.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -184,7 +184,7 @@
 	limits := dispatch.DefaultLimits()
 	limits.Wait = h.options.Settings.Limits.Queue
 	h.pools = dispatch.NewService(dispatch.ServiceOptions{
-		Host: h.options.Settings.ID, Owners: owners, Directory: h.directory, Limits: limits, Log: h.options.Logger,
+		Host: h.options.Settings.ID, Owners: owners, Directory: plannedDirectory{h.directory, h}, Limits: limits, Log: h.options.Logger,
 	})
 	h.dispatcher = dispatch.NewClient(dispatch.ClientOptions{
 		Origin: h.origin, Owners: owners, Directory: h.directory, Service: h.pools,
--- a/internal/host/placement.go
+++ b/internal/host/placement.go
@@ -6,6 +6,7 @@
 	"cowslipgw/internal/owner"
 	"cowslipgw/internal/placement"
 	"cowslipgw/internal/structs"
+	"cowslipgw/internal/upstream"
 )
 
 // wirePlacement sets up the planning of models.
@@ -20,6 +21,23 @@
 	})
 }
 
+// plannedDirectory is the directory as the dispatchers of this host see it.
+type plannedDirectory struct {
+	*upstream.Directory
+	host *Host
+}
+
+// Load returns the last report of a replica. While the replica may be dropping models
+// for an ordered one, the report names none, so that it gets no calls that it would
+// refuse.
+func (d plannedDirectory) Load(id structs.ReplicaID) (upstream.Load, bool) {
+	load, reported := d.Directory.Load(id)
+	if reported && load.Models != nil && d.host.placement.Replacing(id) {
+		load.Models = []string{}
+	}
+	return load, reported
+}
+
 // planOwner implements placement.Owner.
 type planOwner struct {
 	host *Host
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -14,6 +14,8 @@
 type load struct {
 	model string
 	at    time.Time
+	// replaces says that the replica may drop its other models.
+	replaces bool
 	// done is set when the replica reported the model.
 	done bool
 	// overdue is when a load that is not done counts as failed, barred until when the
@@ -22,6 +24,9 @@
 	failed          bool
 }
 
+// active says whether the load may be in progress.
+func (l *load) active() bool { return !l.done && !l.failed }
+
 // notTaken notes that the order surely started nothing.
 func (l *load) notTaken(pause time.Duration) {
 	l.failed = true
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -179,7 +179,7 @@
 	p.left -= size
 	p.used[i] = true
 	p.orders = append(p.orders, Order{
-		Replica: p.Replicas[i].ID, Address: p.Replicas[i].Address,
+		Replica: p.Replicas[i].ID, Address: p.Replicas[i].Address, Replaces: !p.tally.room(i),
 		Order: upstream.Order{
 			Kind: upstream.OrderLoad, Fence: p.Fence + uint64(len(p.orders)),
 			Model: model.Name, Adapter: model.Adapter, Version: model.Version,
--- a/internal/placement/pool_plan.go
+++ b/internal/placement/pool_plan.go
@@ -32,6 +32,8 @@
 	options Options
 	pool    structs.PoolName
 	log     *event.Logger
+	// publish tells the runner which replicas are replacing models.
+	publish func(map[structs.ReplicaID]bool)
 
 	// planning is set while this host plans the pool, since is when it began, last the
 	// last step.
@@ -53,6 +55,7 @@
 func (p *poolPlan) step(ctx context.Context, models []Model, rate int64) {
 	now := time.Now()
 	if !p.own(now) {
+		p.publish(nil)
 		return
 	}
 	largest := int64(0)
@@ -70,6 +73,7 @@
 	orders := Plan(snapshot, now)
 	p.note(orders, rate, now)
 	p.noteMissing(Missing(snapshot), now.Add(-loadTime(largest, rate)), begin, now)
+	p.publish(p.replacing())
 	p.send(ctx, orders, now)
 }
 
@@ -97,6 +101,17 @@
 	return true
 }
 
+// replacing returns the replicas that may be dropping models for an ordered one.
+func (p *poolPlan) replacing() map[structs.ReplicaID]bool {
+	replicas := make(map[structs.ReplicaID]bool)
+	for id, l := range p.loads {
+		if l.replaces && l.active() {
+			replicas[id] = true
+		}
+	}
+	return replicas
+}
+
 // fence returns the number of the next order. The view number is in the high bits, so
 // that every later planner has higher numbers.
 func (p *poolPlan) fence() uint64 {
@@ -110,7 +125,7 @@
 		switch {
 		case !state.Reported:
 			delete(p.loads, id)
-		case l.done || l.failed:
+		case !l.active():
 		case state.Load.At.After(l.at) && slices.Contains(state.Load.Models, l.model):
 			l.done = true
 			p.log.Log(event.ModelLoaded, event.Fields{"replica": id, "model": l.model, "seconds": now.Sub(l.at).Seconds()})
@@ -141,7 +156,7 @@
 		if l := p.loads[listed.ID]; l != nil {
 			replica.Ordered = l.at
 			replica.Ready = replica.Ready && (l.done || now.After(l.barred))
-			if !l.done && !l.failed {
+			if l.active() {
 				replica.Loading = l.model
 			}
 		}
@@ -172,7 +187,7 @@
 		p.budget.spend(size)
 		p.given++
 		p.loads[order.Replica] = &load{
-			model: order.model(), at: now, overdue: now.Add(overdueLoads*loadTime(size, rate) + overdueSlack),
+			model: order.model(), at: now, replaces: order.Replaces, overdue: now.Add(overdueLoads*loadTime(size, rate) + overdueSlack),
 		}
 		delete(p.gaining, order.model())
 	}
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -45,16 +46,45 @@
 	Logger    *event.Logger
 }
 
-// Runner plans the pools that this host owns. Only Run uses its table, with one
-// goroutine for each pool at a time.
+// Runner plans the pools that this host owns. Only Run uses the table of pools, with
+// one goroutine for each pool at a time. A mutex protects replacing; it is a leaf lock.
 type Runner struct {
 	options Options
 	pools   map[structs.PoolName]*poolPlan
+
+	mu        sync.Mutex
+	replacing map[structs.PoolName]map[structs.ReplicaID]bool
 }
 
 // NewRunner returns a runner; Run starts it.
 func NewRunner(options Options) *Runner {
-	return &Runner{options: options, pools: make(map[structs.PoolName]*poolPlan)}
+	return &Runner{
+		options: options, pools: make(map[structs.PoolName]*poolPlan),
+		replacing: make(map[structs.PoolName]map[structs.ReplicaID]bool),
+	}
+}
+
+// Replacing says whether a replica may be dropping its models for one that this host
+// ordered. Its last report may name models that it has no more, so that a call for
+// one of them would fail.
+func (r *Runner) Replacing(id structs.ReplicaID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, replicas := range r.replacing {
+		if replicas[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// publisher returns how a pool tells which replicas are replacing models.
+func (r *Runner) publisher(pool structs.PoolName) func(map[structs.ReplicaID]bool) {
+	return func(replicas map[structs.ReplicaID]bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.replacing[pool] = replicas
+	}
 }
 
 // Run plans until ctx ends. It returns at once when the weight store has no rate.
@@ -80,6 +110,7 @@
 	for pool := range r.pools {
 		if models[pool] == nil {
 			delete(r.pools, pool)
+			r.publisher(pool)(nil)
 		}
 	}
 	// The pools share the weight store's rate equally. Every host has the same lists, so
@@ -90,7 +121,7 @@
 	for pool, names := range models {
 		plan := r.pools[pool]
 		if plan == nil {
-			plan = &poolPlan{options: r.options, pool: pool, log: r.options.Logger.With(event.Fields{"pool": pool})}
+			plan = &poolPlan{options: r.options, pool: pool, log: r.options.Logger.With(event.Fields{"pool": pool}), publish: r.publisher(pool)}
 			r.pools[pool] = plan
 		}
 		group.Go(func() error {
--- a/internal/placement/runner_test.go
+++ b/internal/placement/runner_test.go
@@ -115,6 +115,7 @@
 	*world
 	client *upstream.Client
 	late   bool
+	runner *placement.Runner
 
 	mu     sync.Mutex
 	view   structs.ViewNumber
@@ -131,10 +132,11 @@
 	})
 	directory := upstream.NewDirectory(upstream.DirectoryOptions{Client: p.client, HostList: listIP + ":80"})
 	go directory.Run(w.ctx)
-	go placement.NewRunner(placement.Options{
+	p.runner = placement.NewRunner(placement.Options{
 		Owner: p, Directory: directory, Demands: w, Orders: p, Lists: w, Logger: event.Discard(),
 		Settings: placement.Settings{WeightRate: rate, ModelBytes: size, ModelsPerReplica: 1},
-	}).Run(w.ctx)
+	})
+	go p.runner.Run(w.ctx)
 	return p
 }
 
@@ -208,11 +210,16 @@
 	run(t, true, func(w *world) {
 		is := is.New(t)
 		w.want(map[string]placement.Demand{"b": {Waiting: 1}})
-		w.plan("10.0.0.1", 7)
+		p := w.plan("10.0.0.1", 7)
 		time.Sleep(quiet - time.Millisecond)
 		is.Equal(w.orders(), 0)
-		time.Sleep(6 * time.Second)
+		is.True(!p.runner.Replacing("r0"))
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(w.orders(), 1)
+		is.True(p.runner.Replacing("r0")) // r0 gets no calls for a, which it may drop
+		time.Sleep(4500 * time.Millisecond)
 		is.Equal(w.orders(), 1)
+		is.True(!p.runner.Replacing("r0"))
 		is.Equal(w.engines[0].Load().Models, []string{"a", "b"})
 		is.Equal(w.engines[0].Orders()[0].Fence>>24, uint64(7))
 		time.Sleep(time.Minute)
--- a/internal/placement/snapshot.go
+++ b/internal/placement/snapshot.go
@@ -48,6 +48,8 @@
 type Order struct {
 	Replica structs.ReplicaID
 	Address string
+	// Replaces says that the replica is full and may drop any of its models.
+	Replaces bool
 	upstream.Order
 }
 
