--- a/internal/program/begin.go
+++ b/internal/program/begin.go
@@ -20,6 +20,9 @@
 	MaxTokens int64
 	// Budget is what the account's plan allows a program.
 	Budget structs.Budget
+	// Attempt counts the replicas to which the call may have been sent before. Each of
+	// them may cost the call's largest cost, so a further attempt reserves it again.
+	Attempt int
 	// Waited is how long ago the entry host first asked. A new owner restores the order
 	// of the calls that waited at its predecessor by it.
 	Waited time.Duration
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -93,6 +93,8 @@
 	Prompt   int64             `cbor:"5,keyasint,omitempty"`
 	Reserved int64             `cbor:"6,keyasint,omitempty"`
 	At       int64             `cbor:"7,keyasint"`
+	// Attempt counts the attempts before this one, which count as spent.
+	Attempt int `cbor:"8,keyasint,omitempty"`
 }
 
 // window is a time on the monotonic clock of Owner; another owner cannot compare it.
@@ -144,6 +146,8 @@
 		s.applyReleased(op.Released)
 	case op.Expire != nil:
 		s.applyExpire(op.Expire)
+	case op.Attempt != nil:
+		return s.applyAttempt(op.Attempt)
 	case op.Window != nil:
 		s.applyWindow(op.Window)
 	case op.Open != nil:
