--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -21,6 +21,7 @@
 	"cowslipgw/internal/logservice"
 	"cowslipgw/internal/owner"
 	"cowslipgw/internal/partition"
+	"cowslipgw/internal/placement"
 	"cowslipgw/internal/program"
 	"cowslipgw/internal/structs"
 	"cowslipgw/internal/upstream"
@@ -51,6 +52,7 @@
 	directory  *upstream.Directory
 	dispatcher *dispatch.Client
 	pools      *dispatch.Service
+	placement  *placement.Runner
 
 	fresh   *freshness
 	entry   *entry.Server
@@ -192,7 +194,7 @@
 	limits := dispatch.DefaultLimits()
 	limits.Wait = h.options.Settings.Limits.Queue
 	h.pools = dispatch.NewService(dispatch.ServiceOptions{
-		Host: h.options.Settings.ID, Owners: owners, Directory: h.directory, Limits: limits, Log: h.options.Logger,
+		Host: h.options.Settings.ID, Owners: owners, Directory: plannedDirectory{h.directory, h}, Limits: limits, Log: h.options.Logger,
 	})
 	h.dispatcher = dispatch.NewClient(dispatch.ClientOptions{
 		Origin: h.origin, Owners: owners, Directory: h.directory, Service: h.pools,
@@ -201,6 +203,7 @@
 	h.sweeper = owner.NewSweeper(h.service, owner.SweeperOptions{
 		Control: h.controlClient, Directory: h.directory, Orders: h.upstreams, Logger: h.options.Logger,
 	})
+	h.wirePlacement()
 }
 
 // wireEntry sets up the servers for callers and operators.
