Count computed tokens as attained service; tell the dispatcher the prefix's length

The entry host never set PrefixTokens. Change: the settlement carries the cached tokens; the slot request carries the estimated length of the shared first messages.

--- a/internal/entry/chat_call.go
+++ b/internal/entry/chat_call.go
@@ -166,6 +166,7 @@
 	if c.history.History != nil {
 		messages = c.history.History
 	}
+	prefix, prefixTokens := prefixOf(c.model.Name, messages)
 	return dispatch.Request{
 		Pool:         c.model.Pool,
 		Model:        c.model.Name,
@@ -176,7 +177,8 @@
 		Origin:       c.origin,
 		PromptTokens: c.history.PromptTokens,
 		MaxTokens:    c.maxTokens,
-		Prefix:       prefixOf(c.model.Name, messages),
+		Prefix:       prefix,
+		PrefixTokens: prefixTokens,
 		Holders:      c.history.Holders,
 		Attained:     c.history.Attained,
 	}
--- a/internal/entry/chat_request.go
+++ b/internal/entry/chat_request.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cowslipgw/internal/program"
 	"cowslipgw/internal/structs"
 )
 
@@ -210,8 +211,9 @@
 	return int64(len(c.fields[fieldMessages])/bytesPerToken + tokensPerMessage*len(c.messages))
 }
 
-// prefix hashes the messages that programs with the same instructions share.
-func prefixOf(model string, messages []structs.Message) uint64 {
+// prefixOf hashes the messages that programs with the same instructions share, and
+// returns the estimate of their tokens.
+func prefixOf(model string, messages []structs.Message) (hashed uint64, tokens int64) {
 	hash := xxhash.New()
 	_, _ = hash.WriteString(model)
 	count := 0
@@ -224,9 +226,9 @@
 		_, _ = hash.Write(message.Content)
 	}
 	if count == 0 {
-		return 0
+		return 0, 0
 	}
-	return hash.Sum64()
+	return hash.Sum64(), program.EstimateTokens(messages[:count])
 }
 
 // encode returns the body for the engine, with the program's history in place of
--- a/internal/program/op.go
+++ b/internal/program/op.go
@@ -61,6 +61,8 @@
 	Replica structs.ReplicaID `cbor:"6,keyasint,omitempty"`
 	End     bool              `cbor:"7,keyasint,omitempty"`
 	At      int64             `cbor:"8,keyasint"`
+	// Cached is the part of the prompt that the engine did not compute.
+	Cached int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // endOp ends a program, or a root with its sub-agents.
--- a/internal/program/settle_machine.go
+++ b/internal/program/settle_machine.go
@@ -22,7 +22,7 @@
 	}
 	return Op{Settle: &settleOp{
 		Key: req.Key, Call: req.Call, Outcome: req.Outcome, Answer: req.Answer, Usage: req.Usage,
-		Replica: req.Replica, End: req.End, At: clock.Now.UnixNano(),
+		Replica: req.Replica, End: req.End, At: clock.Now.UnixNano(), Cached: int64(req.Usage.CachedTokens),
 	}}.encode()
 }
 
@@ -35,6 +35,8 @@
 	ended := p.Running
 	r.finish(p, op.Outcome, cost(op), op.At)
 	if op.Outcome == structs.OutcomeAnswered {
+		// Cached tokens cost the engine nothing, so they are no attained service.
+		r.Attained -= min(max(op.Cached, 0), cost(op))
 		p.commit(ended, op)
 	}
 	if op.Replica != "" && op.Outcome != structs.OutcomeNotRun {
