Make foreign answers foreign in content; leave while no dispatcher answers

With the mechanism off the tests fail: call ID of the answer not checked, end of a stream taken for whole, unknown outcomes told as run: no (TestOnlyWholeAnswersPass); leaving ignored by the dispatcher; no release orders, no orphans, live programs taken for gone. The filter of the local choice (dispatch/client_local.go) is not proved: without it TestLeavingUpstreamGetsNoWork passes.

--- a/internal/host/engine_log_test.go
+++ b/internal/host/engine_log_test.go
@@ -45,9 +45,13 @@
 		if err != nil {
 			panic(http.ErrAbortHandler)
 		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		ended := l.add(replica, r.Header, body, w.Header())
+		ended := l.add(replica, r.Header, body)
 		defer ended()
+		if l.takeForeign() {
+			w.Header().Set("X-Call-Id", "another-call")
+			body = foreignBody(body)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(w, r)
 	})
 }
@@ -57,13 +61,13 @@
 	chat := l.wrap(replica, next)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/pickups" {
-			defer l.add(replica, r.Header, nil, w.Header())()
+			defer l.add(replica, r.Header, nil)()
 		}
 		chat.ServeHTTP(w, r)
 	})
 }
 
-func (l *engineLog) add(replica string, header http.Header, body []byte, answer http.Header) (ended func()) {
+func (l *engineLog) add(replica string, header http.Header, body []byte) (ended func()) {
 	var request struct{ Messages []structs.Message }
 	_ = json.Unmarshal(body, &request)
 	c := &engineCall{replica: replica, id: header.Get("X-Call-Id"), from: time.Now()}
@@ -77,10 +81,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls = append(l.calls, c)
-	if l.foreign > 0 {
-		l.foreign--
-		answer.Set("X-Call-Id", "another-call")
-	}
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -88,6 +88,26 @@
 	}
 }
 
+// takeForeign says whether the next answer is to be that of another call.
+func (l *engineLog) takeForeign() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.foreign == 0 {
+		return false
+	}
+	l.foreign--
+	return true
+}
+
+// foreignBody returns the request of another call, in the same form of answer.
+func foreignBody(body []byte) []byte {
+	var request map[string]json.RawMessage
+	_ = json.Unmarshal(body, &request)
+	request["messages"] = json.RawMessage(`[{"role":"user","content":"another question"}]`)
+	changed, _ := json.Marshal(request)
+	return changed
+}
+
 // all returns the requests in order of arrival.
 func (l *engineLog) all() []*engineCall {
 	l.mu.Lock()
--- a/internal/host/leaving_upstream_test.go
+++ b/internal/host/leaving_upstream_test.go
@@ -8,8 +8,11 @@
 
 	"github.com/matryer/is"
 
+	"cowslipgw/internal/owner"
+	"cowslipgw/internal/partition"
 	"cowslipgw/internal/standin/hostlist"
 	"cowslipgw/internal/standin/logserver"
+	"cowslipgw/internal/structs"
 )
 
 // leaveBound is how long after the host list shows it, or its own report says it, a
@@ -36,10 +39,23 @@
 	faults := map[string]func(s *site){
 		"no fault":          func(*site) {},
 		"dispatcher killed": func(s *site) { s.kill(2) },
-		"log down":          func(s *site) { s.log.SetFaults(logserver.Faults{Down: true}) },
-		"host cut off":      func(s *site) { s.cut(4, append(s.peerIPs(4), logIP)...) },
-		"list down later":   func(s *site) { time.AfterFunc(4*time.Second, func() { s.hostList.SetDown(true) }) },
-		"host starts anew":  func(s *site) { s.kill(5); s.start(5) },
+		"no dispatcher": func(s *site) {
+			// Hosts choose replicas by themselves until the view changes.
+			time.AfterFunc(leaveBound, func() {
+				for _, pool := range []structs.PoolName{"llm", "app"} {
+					place := 0
+					first, _ := partition.NewTable(s.anyHost().View()).Owner(owner.PartitionOfPool(pool))
+					_, _ = fmt.Sscanf(string(first.ID), "host-%d", &place)
+					if s.host(place-1) != nil {
+						s.kill(place - 1)
+					}
+				}
+			})
+		},
+		"log down":         func(s *site) { s.log.SetFaults(logserver.Faults{Down: true}) },
+		"host cut off":     func(s *site) { s.cut(4, append(s.peerIPs(4), logIP)...) },
+		"list down later":  func(s *site) { time.AfterFunc(4*time.Second, func() { s.hostList.SetDown(true) }) },
+		"host starts anew": func(s *site) { s.kill(5); s.start(5) },
 		"new replica at it": func(s *site) {
 			s.hostList.Put(hostlist.Replica{Pool: "llm", ID: "llm-9", Address: "10.2.0.9:80", Kind: "engine"})
 		},
--- a/internal/host/load_test.go
+++ b/internal/host/load_test.go
@@ -228,3 +228,14 @@
 func contextFor(limit time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), limit)
 }
+
+// anyHost returns a host that is up.
+func (s *site) anyHost() *runningHost {
+	for i := range s.config.hosts {
+		if r := s.host(i); r != nil {
+			return r
+		}
+	}
+	s.t.Fatal("no host is up")
+	return nil
+}
