--- a/internal/entry/chat_call.go
+++ b/internal/entry/chat_call.go
@@ -155,7 +155,7 @@
 			fmt.Sprintf("the request may cost more than the %d tokens that the plan allows a program", budget.Tokens)))
 	}
 	if c.begunAt.IsZero() {
-		c.begunAt, c.history.Left = time.Now(), budget.Wall
+		c.begunAt, c.history.WallLeft = time.Now(), budget.Wall
 	}
 	return nil
 }
@@ -223,12 +223,12 @@
 	if c.claim != nil {
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(c.waiting), c.server.options.Limits.Carry)
 	}
-	if c.history.Left <= 0 {
+	if c.history.WallLeft <= 0 {
 		ctx, stop := context.WithCancel(ctx)
 		return ctx, func() { stop(); cancel() }
 	}
 	over := withRun(newProblem(http.StatusPaymentRequired, "budget-exhausted", "the program's wall time ended during the call"), structs.RunUnknown)
-	ctx, stop := context.WithDeadlineCause(ctx, c.begunAt.Add(c.history.Left), over)
+	ctx, stop := context.WithDeadlineCause(ctx, c.begunAt.Add(c.history.WallLeft), over)
 	return ctx, func() { stop(); cancel() }
 }
 
@@ -268,7 +268,7 @@
 			return nil, err
 		}
 		if c.firstToken == 0 {
-			c.firstToken = time.Since(c.started)
+			c.firstToken = max(time.Since(c.started), 1)
 			c.server.metrics.firstToken(c.firstToken)
 		}
 		if next.UsageOnly && !c.request.includeUsage {
--- a/internal/host/complete_response_test.go
+++ b/internal/host/complete_response_test.go
@@ -45,7 +45,7 @@
 	impatient := func(h *settings.Host) {
 		h.Upstream.FirstByte, h.Upstream.Idle, h.Upstream.Answer = 5*time.Second, 5*time.Second, 10*time.Second
 	}
-	runSite(t, siteConfig{wrap: log.wrap, adjust: impatient}, func(s *site) {
+	runSite(t, siteConfig{wrap: log.wrap, change: impatient}, func(s *site) {
 		for _, e := range s.engines {
 			e.SetFaults(fault)
 		}
--- a/internal/host/engine_memory_test.go
+++ b/internal/host/engine_memory_test.go
@@ -78,7 +78,7 @@
 				config := siteConfig{
 					hosts: 9, plans: budgetPlans(budgetTokens, 100, "2h"), accounts: defaultAccounts,
 					engine: engine.Settings{LoadLag: time.Second},
-					adjust: func(h *settings.Host) { h.Limits.ProgramIdle = idleTime },
+					change: func(h *settings.Host) { h.Limits.ProgramIdle = idleTime },
 				}
 				runSite(t, config, func(s *site) {
 					is := is.New(s.t)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
 
 	"cowslipgw/internal/account"
@@ -19,15 +21,12 @@
 	"cowslipgw/internal/logservice"
 	"cowslipgw/internal/owner"
 	"cowslipgw/internal/partition"
+	"cowslipgw/internal/placement"
 	"cowslipgw/internal/program"
 	"cowslipgw/internal/structs"
 	"cowslipgw/internal/upstream"
 )
 
-// logRetention is how long the log service keeps records at the least. Snapshots are
-// appended four times in that time.
-const logRetention = 24 * time.Hour
-
 // Host is one entry host.
 type Host struct {
 	options   Options
@@ -37,6 +36,7 @@
 	appender  *logservice.Appender
 	member    *fleet.Member
 	store     *lists.Store
+	snapshots *listsSnapshots
 	followers []*logservice.Follower
 
 	controlClient *control.Client
@@ -52,9 +52,12 @@
 	directory  *upstream.Directory
 	dispatcher *dispatch.Client
 	pools      *dispatch.Service
+	placement  *placement.Runner
 
-	fresh *freshness
-	entry *entry.Server
+	fresh   *freshness
+	entry   *entry.Server
+	admin   *http.Server
+	metrics *metrics.Set
 }
 
 // listeners are the sockets of one host.
@@ -74,6 +77,7 @@
 	h.wirePartitions()
 	h.wireUpstreams()
 	h.wireEntry()
+	h.wireMetrics()
 	if err := h.register(); err != nil {
 		opened.close()
 		return nil, err
@@ -127,11 +131,12 @@
 		Appender:  h.appender,
 		Caller:    h.controlClient,
 		Logger:    h.options.Logger,
-		Retention: logRetention,
+		Retention: s.Platform.LogRetention,
 	})
 	h.store = lists.NewStore(time.Now, h.options.Logger)
 	h.follow(fleet.Stream, h.member)
 	h.follow(lists.Stream, listsHandler{h.store})
+	h.snapshots = newListsSnapshots(h.store, h.member.FirstLive, h.appendListsSnapshot, s.Platform.LogRetention, h.options.Logger)
 	h.fresh = &freshness{
 		current: h.member.Current, complete: h.store.Complete,
 		stale: s.Limits.Stale, logger: h.options.Logger,
@@ -148,7 +153,8 @@
 // wirePartitions sets up replicated state and the operations on it.
 func (h *Host) wirePartitions() {
 	limits := program.DefaultLimits
-	limits.Idle = h.options.Settings.Limits.ProgramIdle
+	limits.Hold = h.options.Settings.Limits.ProgramIdle
+	limits.Idle = h.options.Settings.Limits.ProgramRetention
 	limits.Retention = h.options.Settings.Limits.ClaimRetention
 	h.manager = partition.NewManager(partition.Config{
 		Views:     h.member,
@@ -159,13 +165,13 @@
 		Activated: func(id partition.ID, machine partition.Machine) { h.service.Activated(id, machine) },
 	})
 	h.service = owner.NewService(owner.Options{
-		Proposer: h.manager, Viewer: h.member, Origin: h.origin, Rates: limitsOf(h.store),
+		Proposer: h.manager, Owned: h.manager, Viewer: h.member, Origin: h.origin, Rates: limitsOf(h.store),
 	})
 	h.checkpoints = checkpoint.New(checkpoint.Options{
 		Log: h.log, Appender: h.appender, Owned: h.manager,
 		Empty:     func(machine partition.Machine) bool { return program.FromMachine(machine).Empty() },
 		Share:     h.checkpointShare,
-		Retention: logRetention,
+		Retention: h.options.Settings.Platform.LogRetention,
 		Logger:    h.options.Logger,
 	})
 	router := owner.NewRouter(h.locator(), h.controlClient)
@@ -188,24 +194,26 @@
 	limits := dispatch.DefaultLimits()
 	limits.Wait = h.options.Settings.Limits.Queue
 	h.pools = dispatch.NewService(dispatch.ServiceOptions{
-		Host: h.options.Settings.ID, Owners: owners, Directory: h.directory, Limits: limits, Log: h.options.Logger,
+		Host: h.options.Settings.ID, Owners: owners, Directory: plannedDirectory{h.directory, h}, Limits: limits, Log: h.options.Logger,
 	})
 	h.dispatcher = dispatch.NewClient(dispatch.ClientOptions{
 		Origin: h.origin, Owners: owners, Directory: h.directory, Service: h.pools,
 		Control: h.controlClient, Limits: limits, Log: h.options.Logger,
 	})
 	h.sweeper = owner.NewSweeper(h.service, owner.SweeperOptions{
-		Owned: h.manager, Directory: h.directory, Orders: h.upstreams, Logger: h.options.Logger,
+		Control: h.controlClient, Directory: h.directory, Orders: h.upstreams, Logger: h.options.Logger,
 	})
+	h.wirePlacement()
 }
 
-// wireEntry sets up the server for callers.
+// wireEntry sets up the servers for callers and operators.
 func (h *Host) wireEntry() {
 	h.entry = entry.New(entry.Options{
 		Programs: h.owners, Claims: h.owners, Rates: rates{h.limiter}, Lists: h.store,
 		Freshness: h.fresh, Hosts: h.member, Dispatcher: h.dispatcher, Upstream: h.upstreams,
 		Logger: h.options.Logger, Tracer: h.options.Tracer, Limits: h.options.Settings.Limits,
 	})
+	h.admin = entry.NewAdmin(operator{h}).Server()
 }
 
 // register adds the services that other hosts call.
@@ -217,6 +225,9 @@
 	if err := h.controlServer.Register(partition.ServiceName, partition.NewService(h.manager)); err != nil {
 		return err
 	}
+	if err := h.controlServer.Register(peerService, &PeerRPC{h}); err != nil {
+		return err
+	}
 	if err := owner.Register(h.controlServer, h.service, h.options.Tracer); err != nil {
 		return err
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -65,11 +66,20 @@
 	run(h.owners.Run)
 	run(h.sweeper.Run)
 	run(h.dispatcher.Run)
+	run(h.placement.Run)
 	run(h.fresh.run)
+	run(h.snapshots.run)
 	run(h.followView)
 	run(func(ctx context.Context) { h.limiter.Run(ctx, limitsOf(h.store)) })
 	run(func(ctx context.Context) { _ = h.directory.Run(ctx) })
+	run(func(ctx context.Context) { _ = h.entry.Run(ctx) })
 	group.Go(func() error { return h.entry.Serve(h.listeners.entry) })
+	group.Go(func() error {
+		if err := h.admin.Serve(h.listeners.admin); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
 }
 
 // followView tells the parts that depend on the view when it changes.
@@ -91,11 +101,15 @@
 	}
 }
 
-// drain leaves the fleet without cutting a request (docs/design.md, section 5.8).
+// drain leaves the fleet without cutting a request (docs/design.md, section 5.8). The
+// last host of a fleet keeps its partitions until its requests have ended, since nobody
+// else can settle them.
 func (h *Host) drain(ctx context.Context) {
 	h.options.Logger.Log(event.HostDraining, nil)
 	h.entry.StartDrain()
-	h.leave(ctx)
+	if h.hasSuccessor() {
+		h.leave(ctx)
+	}
 	if err := h.entry.Shutdown(ctx); err != nil {
 		h.options.Logger.Log(event.DrainIncomplete, event.Fields{"error": err.Error()})
 	}
@@ -118,14 +132,24 @@
 	h.awaitHandover(limited)
 }
 
+// hasSuccessor reports whether another host can take this host's partitions.
+func (h *Host) hasSuccessor() bool {
+	for _, host := range h.member.View().Hosts {
+		if host.ID != h.options.Settings.ID && !host.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitHandover waits until no other host needs this host's copies and no settlement
-// waits here.
+// waits here. Without a successor there is nothing to wait for.
 func (h *Host) awaitHandover(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, leaveLimit)
 	defer cancel()
 	ticker := time.NewTicker(handoverCheck)
 	defer ticker.Stop()
-	for !h.manager.HandedOver() || h.owners.Backlog() > 0 {
+	for h.hasSuccessor() && (!h.manager.HandedOver() || h.owners.Backlog() > 0) {
 		select {
 		case <-limited.Done():
 			return
@@ -136,8 +160,10 @@
 
 // closeAll closes sockets and connections.
 func (h *Host) closeAll() {
-	h.listeners.close()
+	// The servers are closed before their sockets, so that they end without an error.
 	h.entry.Close()
+	_ = h.admin.Close()
+	h.listeners.close()
 	h.controlServer.Close()
 	h.controlClient.Close()
 	h.pools.Close()
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -45,12 +45,12 @@
 	log                logserver.Settings
 	// accounts and plans are the two lists; keys in accounts are written as {key NAME}.
 	accounts, plans string
+	// change alters the settings of every host; nil for none.
+	change func(*settings.Host)
 	// delay is the one-way delay of every link.
 	delay time.Duration
 	// logTo gets the hosts' events; nil for none.
 	logTo io.Writer
-	// adjust changes the settings of each host; nil for the defaults.
-	adjust func(*settings.Host)
 	// wrap puts a handler in front of each replica; nil for none.
 	wrap func(replica string, next http.Handler) http.Handler
 }
@@ -68,6 +68,8 @@
 	keys     map[string]string
 	servers  []*standin.Server
 	closers  []func()
+	// linger is the time that close leaves to what killed hosts still try.
+	linger time.Duration
 }
 
 // runningHost is one host of a site.
@@ -192,6 +194,7 @@
 		t: t, config: config, network: transport.NewMemory(), log: logserver.New(config.log),
 		engines: make(map[string]*engine.Engine), apps: make(map[string]*app.Service),
 		hosts: make(map[structs.HostID]*runningHost), keys: make(map[string]string),
+		linger: settings.Default().Limits.Carry + time.Minute,
 	}
 	s.network.SetUsualDelay(config.delay)
 	s.serve(logIP, s.log)
@@ -282,16 +285,19 @@
 // start starts the i-th host, also after a stop or kill.
 func (s *site) start(i int) *runningHost {
 	s.t.Helper()
-	ip := fmt.Sprintf("10.0.0.%d", i+1)
+	ip := hostIP(i)
 	config := settings.Default()
 	config.ID = hostID(i)
 	config.Region = s.config.region
 	config.Domain = s.config.domains[i%len(s.config.domains)]
 	config.EntryAddress, config.AdminAddress, config.ControlAddress = ip+":80", ip+":81", ip+":82"
-	config.Platform = settings.Platform{Log: logIP + ":80", HostList: hostListIP + ":80"}
+	config.Platform.Log, config.Platform.HostList = logIP+":80", hostListIP+":80"
+	if s.config.log.RetainFor > 0 {
+		config.Platform.LogRetention = s.config.log.RetainFor
+	}
 	config.Upstream.Credential = credential
-	if s.config.adjust != nil {
-		s.config.adjust(&config)
+	if s.config.change != nil {
+		s.config.change(&config)
 	}
 	logger := event.New(s.config.logTo, true, 5)
 	tracer, err := trace.New(context.Background(), trace.Options{})
@@ -399,7 +405,7 @@
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
-	// A killed host's settlement and then its claim's end are tried until their time is
-	// over; its process would have taken them along.
-	time.Sleep(3 * settings.Default().Limits.Settle)
+	// Time stands still after the test's function, so that what killed hosts still try
+	// must end here.
+	time.Sleep(s.linger)
 }
--- a/internal/lists/store.go
+++ b/internal/lists/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cowslipgw/internal/event"
@@ -20,9 +21,13 @@
 type Store struct {
 	now    func() time.Time
 	logger *event.Logger
+	// current is read on the request path, which must not wait for the lock while a new
+	// version is parsed.
+	current atomic.Pointer[Lists]
 
 	mu       sync.Mutex
 	state    State
+	snapshot structs.Offset
 	history  []Change
 	outcomes map[string]judged
 	order    []string
@@ -39,7 +44,7 @@
 
 // NewStore returns a store with empty lists. now gives the time for the history.
 func NewStore(now func() time.Time, logger *event.Logger) *Store {
-	return &Store{
+	s := &Store{
 		now:      now,
 		logger:   logger,
 		state:    NewState(),
@@ -47,13 +52,13 @@
 		changed:  make(chan struct{}),
 		folded:   make(chan struct{}),
 	}
+	s.current.Store(s.state.Lists)
+	return s
 }
 
 // Current returns the lists in force. They must not be changed.
 func (s *Store) Current() *Lists {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.state.Lists
+	return s.current.Load()
 }
 
 // Changed returns a channel that is closed when a newer version is in force.
@@ -110,10 +115,14 @@
 	next, steps := Fold(s.state, Positioned{Offset: record.Offset, Record: decoded})
 	before := s.state.Lists
 	s.state = next
+	if decoded.Snapshot {
+		s.snapshot = record.Offset
+	}
 	for _, step := range steps {
 		s.noteLocked(step)
 	}
 	if next.Lists != before {
+		s.current.Store(next.Lists)
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
@@ -121,6 +130,21 @@
 	s.folded = make(chan struct{})
 }
 
+// Trimmed says that the log keeps no record before first. Unless they were folded, the
+// lists in force are not known until a snapshot is folded.
+func (s *Store) Trimmed(first structs.Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = trim(s.state, first)
+}
+
+// LastSnapshot returns the offset of the newest snapshot record folded; 0 for none.
+func (s *Store) LastSnapshot() structs.Offset {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.snapshot
+}
+
 // noteLocked records one step in the history and for waiting puts. s.mu is held.
 func (s *Store) noteLocked(step Step) {
 	id := step.Record.Record.ID
--- a/internal/owner/rpc.go
+++ b/internal/owner/rpc.go
@@ -24,6 +24,7 @@
 	methodOpen   = claimService + ".Open"
 	methodClose  = claimService + ".Close"
 	methodGrant  = accountService + ".Grant"
+	methodActive = programService + ".Active"
 )
 
 // ProgramRPC carries the operations of programs.
@@ -47,6 +48,12 @@
 	return serve(r.tracer, methodEnd, call, reply, r.service.End)
 }
 
+// Active answers Program.Active: which of the calls this host does not run.
+func (r *ProgramRPC) Active(question ActiveQuestion, reply *ActiveAnswer) error {
+	*reply = r.service.active.missing(question)
+	return nil
+}
+
 // ClaimRPC carries the operations of idempotency claims.
 type ClaimRPC struct {
 	service *Service
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -15,6 +15,7 @@
 // Options set up a Service.
 type Options struct {
 	Proposer partition.Proposer
+	Owned    OwnedPartitions
 	Viewer   fleet.Viewer
 	// Origin names this host with its present incarnation.
 	Origin func() structs.Origin
@@ -26,6 +27,7 @@
 // safe for concurrent use.
 type Service struct {
 	proposer partition.Proposer
+	owned    OwnedPartitions
 	viewer   fleet.Viewer
 	origin   func() structs.Origin
 	rates    func(structs.AccountID) (account.Limits, bool)
@@ -33,6 +35,8 @@
 	waiting  *program.Waiting
 	// takeovers is a leaf lock, taken under the partition's.
 	takeovers *takeovers
+	// active are the calls of this host, as the client of owners.
+	active *activeCalls
 
 	mu     sync.Mutex
 	begins map[structs.CallID]*pendingBegin
@@ -42,12 +46,14 @@
 func NewService(options Options) *Service {
 	return &Service{
 		proposer:  options.Proposer,
+		owned:     options.Owned,
 		viewer:    options.Viewer,
 		origin:    options.Origin,
 		rates:     options.Rates,
 		started:   time.Now(),
 		waiting:   program.NewWaiting(),
 		takeovers: newTakeovers(),
+		active:    newActiveCalls(),
 		begins:    make(map[structs.CallID]*pendingBegin),
 	}
 }
--- a/internal/owner/sweeper.go
+++ b/internal/owner/sweeper.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/fleet"
 	"cowslipgw/internal/partition"
 	"cowslipgw/internal/program"
 	"cowslipgw/internal/structs"
@@ -43,7 +44,8 @@
 
 // SweeperOptions set up a Sweeper.
 type SweeperOptions struct {
-	Owned     OwnedPartitions
+	// Control calls other hosts.
+	Control   fleet.Caller
 	Directory Replicas
 	Orders    Orders
 	Logger    *event.Logger
@@ -93,6 +95,9 @@
 	if expire {
 		s.lastCheck = now
 	}
+	if expire {
+		s.audit(ctx)
+	}
 	found := s.look(expire)
 	for _, id := range found.abandoned {
 		s.propose(ctx, id, func(state *program.State) ([]byte, error) {
@@ -115,7 +120,7 @@
 	var found findings
 	reported := s.reportedPrograms()
 	clock := s.service.clock()
-	s.options.Owned.Visit(func(id partition.ID, machine partition.Machine) {
+	s.service.owned.Visit(func(id partition.ID, machine partition.Machine) {
 		state := program.FromMachine(machine)
 		found.releases = append(found.releases, s.orphans(id, state, reported[id])...)
 		if state.Empty() {
--- a/internal/program/begin.go
+++ b/internal/program/begin.go
@@ -45,8 +45,9 @@
 	Attained int64
 	// PromptTokens is the estimate that was reserved for the prompt.
 	PromptTokens int64
+	// WallLeft is how long the program may still run under its budget; 0 if that is not
+	// limited.
+	WallLeft time.Duration
 	// Fence is the fencing number of the call for upstreams that check it.
 	Fence uint64
-	// Left is what is left of the program's wall time; 0 if it has no limit.
-	Left time.Duration
 }
--- a/internal/program/begin_decide.go
+++ b/internal/program/begin_decide.go
@@ -62,9 +62,7 @@
 	if err != nil {
 		return BeginOutcome{}, err
 	}
-	outcome := BeginOutcome{Result: beginResult(r, p, op), Op: data}
-	outcome.Result.Left = wallLeft(r, req.Budget, clock.Now)
-	return outcome, nil
+	return BeginOutcome{Result: beginResult(r, p, op, req.Budget.Wall, clock.Now), Op: data}, nil
 }
 
 // notInView refuses a host that is not in the owner's view: nothing would end its call
@@ -119,8 +117,7 @@
 	r, _ := s.find(req.Key)
 	running := p.Running
 	again := &beginOp{Messages: running.Messages, Number: p.Number, Fence: running.Fence, Prompt: running.Prompt}
-	outcome := BeginOutcome{Result: beginResult(r, p, again)}
-	outcome.Result.Left = wallLeft(r, req.Budget, clock.Now)
+	outcome := BeginOutcome{Result: beginResult(r, p, again, req.Budget.Wall, clock.Now)}
 	if req.Attempt <= running.Attempt {
 		return outcome, nil
 	}
@@ -134,15 +131,6 @@
 	return outcome, err
 }
 
-// wallLeft returns what is left of a program's wall time, or 0 without a limit. r is
-// nil for a new program.
-func wallLeft(r *root, limits structs.Budget, now time.Time) time.Duration {
-	if limits.Wall <= 0 || r == nil {
-		return limits.Wall
-	}
-	return max(1, limits.Wall-time.Duration(now.UnixNano()-r.Started))
-}
-
 // budgetExhausted is the problem of a call that the budget does not allow.
 func budgetExhausted(detail string) *structs.Problem {
 	return &structs.Problem{
@@ -199,7 +187,7 @@
 }
 
 // beginResult builds the answer from the state before the operation.
-func beginResult(r *root, p *state, op *beginOp) BeginResult {
+func beginResult(r *root, p *state, op *beginOp, wall time.Duration, now time.Time) BeginResult {
 	result := BeginResult{Turn: 1, Number: op.Number, PromptTokens: op.Prompt, Fence: op.Fence}
 	var history []structs.Message
 	if p != nil {
@@ -207,8 +195,12 @@
 		result.Turn = p.Turn + 1
 		result.Holders = append([]structs.ReplicaID(nil), p.Holders...)
 	}
+	result.WallLeft = wall
 	if r != nil {
 		result.Attained = r.Attained
+		if wall > 0 {
+			result.WallLeft = max(1, wall-time.Duration(now.UnixNano()-r.Started))
+		}
 	}
 	result.History = make([]structs.Message, 0, len(history)+len(op.Messages))
 	result.History = append(result.History, history...)
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -27,10 +27,14 @@
 	TraceEndpoint string
 }
 
-// Platform says where the platform's services are, as "ip:port".
+// Platform says where the platform's services are, as "ip:port", and what the log
+// promises.
 type Platform struct {
 	Log      string
 	HostList string
+	// LogRetention is how long the log service keeps records at the least. Snapshots are
+	// appended four times in that time.
+	LogRetention time.Duration
 }
 
 // Upstream says how the host talks to upstreams.
@@ -47,6 +51,12 @@
 	LoadPoll time.Duration
 	// AnswerLimit bounds an answer that is held in memory, in bytes.
 	AnswerLimit int64
+	// WeightRate is what the weight store sends in bytes a second to the whole fleet; 0
+	// gives no load orders. ModelSize is the size of a model in bytes.
+	WeightRate int64
+	ModelSize  int64
+	// ModelsPerReplica is how many models an engine holds at once.
+	ModelsPerReplica int64
 }
 
 // Limits bound what callers can make the host do, and how long state is kept.
@@ -79,6 +89,8 @@
 	HostsTTL time.Duration
 	// ProgramIdle is how long a program without calls keeps engine memory.
 	ProgramIdle time.Duration
+	// ProgramRetention is how long a program without calls keeps its history.
+	ProgramRetention time.Duration
 	// ClaimRetention is how long a finished idempotency claim is kept.
 	ClaimRetention time.Duration
 	// Freshness is how old the host's knowledge of the lists may be, and Stale how long
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -39,6 +39,7 @@
 
 	{"platform", "log", "", false, service(func(h *Host) *string { return &h.Platform.Log })},
 	{"platform", "host_list", "", false, service(func(h *Host) *string { return &h.Platform.HostList })},
+	{"platform", "log_retention", "24h", false, duration(func(h *Host) *time.Duration { return &h.Platform.LogRetention }, time.Minute, 365*day)},
 
 	{"upstream", credentialKey, "", true, text(func(h *Host) *string { return &h.Upstream.Credential })},
 	{"upstream", credentialFileKey, "", true, kind{allowed: "the path of a file with one line", set: func(*Host, string) bool { return true }}},
@@ -49,6 +50,9 @@
 	{"upstream", "poll_interval", "1s", false, duration(func(h *Host) *time.Duration { return &h.Upstream.Poll }, 100*time.Millisecond, 1500*time.Millisecond)},
 	{"upstream", "load_interval", "500ms", false, duration(func(h *Host) *time.Duration { return &h.Upstream.LoadPoll }, 50*time.Millisecond, 1500*time.Millisecond)},
 	{"upstream", "answer_limit", "16MiB", false, count(func(h *Host) *int64 { return &h.Upstream.AnswerLimit }, "bytes", 1024, gibi)},
+	{"upstream", "weight_rate", "1GiB", false, count(func(h *Host) *int64 { return &h.Upstream.WeightRate }, "bytes", 0, 1024*gibi)},
+	{"upstream", "model_size", "16GiB", false, count(func(h *Host) *int64 { return &h.Upstream.ModelSize }, "bytes", 1024, 16*1024*gibi)},
+	{"upstream", "models_per_replica", "1", false, count(func(h *Host) *int64 { return &h.Upstream.ModelsPerReplica }, "models", 1, 1024)},
 
 	{"limits", "body", "16MiB", false, count(func(h *Host) *int64 { return &h.Limits.Body }, "bytes", 1024, gibi)},
 	{"limits", "app_buffer", "1MiB", false, count(func(h *Host) *int64 { return &h.Limits.AppBuffer }, "bytes", 0, gibi)},
@@ -66,6 +70,7 @@
 	{"limits", "default_max_tokens", "4096", false, count(func(h *Host) *int64 { return &h.Limits.MaxTokens }, "tokens", 1, 1<<24)},
 	{"limits", "entry_hosts_ttl", "30s", false, duration(func(h *Host) *time.Duration { return &h.Limits.HostsTTL }, time.Second, time.Hour)},
 	{"limits", "program_idle", "10m", false, duration(func(h *Host) *time.Duration { return &h.Limits.ProgramIdle }, time.Second, 30*day)},
+	{"limits", "program_retention", "72h", false, duration(func(h *Host) *time.Duration { return &h.Limits.ProgramRetention }, time.Minute, 90*day)},
 	{"limits", "claim_retention", "24h", false, duration(func(h *Host) *time.Duration { return &h.Limits.ClaimRetention }, time.Minute, 30*day)},
 	{"limits", "lists_freshness", "3s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Freshness }, time.Second, 10*time.Second)},
 	{"limits", "lists_stale", "5s", false, duration(func(h *Host) *time.Duration { return &h.Limits.Stale }, 0, 10*time.Second)},
