--- a/internal/host/engine_log_test.go
+++ b/internal/host/engine_log_test.go
@@ -48,7 +48,7 @@
 		ended := l.add(replica, r.Header, body)
 		defer ended()
 		if l.takeForeign() {
-			w.Header().Set("X-Call-Id", "another-call")
+			r.Header.Set("X-Call-Id", "another-"+r.Header.Get("X-Call-Id")) // the engine echoes it
 			body = foreignBody(body)
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
