Try another replica when an engine does not hold the model

Cause: until a replica's first load report the dispatcher takes it to hold every model, so a caller got 404 'upstream-refused' for a model of its plan. Ruled out: no calls to replicas that have not reported, which would stop a pool whose reports fail at start. Measured: TestModelNotLoaded: 404 before, 200 after two upstream calls.

--- a/internal/entry/chat_call.go
+++ b/internal/entry/chat_call.go
@@ -101,6 +101,10 @@
 		c.server.metrics.retried("not-sent")
 		return true
 	}
+	if modelNotLoaded(err) {
+		c.server.metrics.retried("not-loaded")
+		return true
+	}
 	var problem *structs.Problem
 	if c.claim != nil || refusedByEngine(err) || errors.Is(err, upstream.ErrOldFence) || errors.As(err, &problem) || !c.server.retries.take() {
 		return false
@@ -207,7 +211,7 @@
 	answer, err := c.send(slot, body)
 	result.FirstToken = c.firstToken
 	switch {
-	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, upstream.ErrOldFence):
+	case errors.Is(err, upstream.ErrNotSent), errors.Is(err, upstream.ErrOldFence), modelNotLoaded(err):
 		c.outcome, result.Outcome = before, structs.OutcomeNotRun
 	case err == nil:
 		c.outcome, result.Outcome = structs.OutcomeAnswered, structs.OutcomeAnswered
--- a/internal/entry/chat_test.go
+++ b/internal/entry/chat_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+// TestModelNotLoaded guards against a caller that is told that a model of its plan does
+// not exist, because the first replica does not hold it yet.
+func TestModelNotLoaded(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		f.replica(firstReplica, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = w.Write([]byte(`{"error":{"code":"model_not_found","message":"not loaded"}}`))
+		})
+		f.replica(otherReplica, answer)
+		f.start()
+		is.Equal(f.chat(callBody, "Idempotency-Key", "k1").status, 200)
+		is.Equal(f.upstreamCalls.Load(), int64(2))
+	})
+}
+
 // TestRetry guards against repeatable calls that are not tried elsewhere, claimed
 // ones that are sent twice, and retries beyond the budget.
 func TestRetry(t *testing.T) {
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -86,7 +86,15 @@
 	var status *upstream.StatusError
 	return errors.As(err, &status) && !errors.Is(err, upstream.ErrOldFence) && status.Status/100 == 4 &&
 		status.Status != http.StatusTooManyRequests && status.Status != http.StatusRequestTimeout &&
-		status.Status != http.StatusUnauthorized && status.Status != http.StatusForbidden
+		status.Status != http.StatusUnauthorized && status.Status != http.StatusForbidden &&
+		!modelNotLoaded(err)
+}
+
+// modelNotLoaded says whether a replica does not hold the model. The lists name the
+// model, so another replica may hold it; this one ran nothing.
+func modelNotLoaded(err error) bool {
+	var status *upstream.StatusError
+	return errors.As(err, &status) && status.Status == http.StatusNotFound
 }
 
 // statusFailure returns the problem of an engine's error status.
@@ -94,6 +102,9 @@
 	if refusedByEngine(status) {
 		return withRun(newProblem(status.Status, "upstream-refused", engineMessage(status.Body)), structs.RunYes)
 	}
+	if modelNotLoaded(status) {
+		return s.keepTrue(retryLater("model-not-loaded", "no replica that was tried holds the model yet", unreachableRetry))
+	}
 	if status.Status == http.StatusTooManyRequests || status.Status == http.StatusServiceUnavailable {
 		return withRun(newProblem(http.StatusServiceUnavailable, "upstream-busy", "the replica refused work"), s.run())
 	}
