Refuse a call at once that every live replica has failed

Cause: TestOrderAndHistoryUnderPairs failed now and then with 'no replica became free in time': with both engines of a pool excluded, the call waited for its whole queue time and its caller gave up. Change: the dispatcher answers no-replica when no live replica is left.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -197,3 +197,20 @@
 		is.True(counts["r2"] < 8)
 	})
 }
+
+// TestEveryReplicaExcluded guards against a failed call that waits for a replica which
+// it must not get, until its caller's time is over.
+func TestEveryReplicaExcluded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 2, 4, DefaultLimits())
+		failed := request(0, 0)
+		failed.Exclude = []structs.ReplicaID{"r0", "r1"}
+		start := time.Now()
+		_, err := f.clients[0].Acquire(t.Context(), failed)
+		var problem *structs.Problem
+		is.True(errors.As(err, &problem))
+		is.Equal(problem.Code, "no-replica")
+		is.True(time.Since(start) < time.Second)
+	})
+}
--- a/internal/dispatch/pool_acquire.go
+++ b/internal/dispatch/pool_acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cowslipgw/internal/event"
@@ -73,8 +74,12 @@
 	}
 }
 
-// refusalLocked applies the bounds of the queue.
+// refusalLocked applies the bounds of the queue. A call that every live replica has
+// failed already is refused at once, since waiting brings no other replica.
 func (p *Pool) refusalLocked(request Request) *structs.Problem {
+	if len(request.Exclude) > 0 && !p.hasOther(request.Exclude) {
+		return noReplica(p.name)
+	}
 	account := p.queued[request.Account]
 	if account < p.limits.Account && len(p.waiters) < p.limits.Pool {
 		return nil
@@ -83,6 +88,16 @@
 	return queueFull(p.name, len(p.waiters), account)
 }
 
+// hasOther reports whether the pool has a live replica besides the excluded ones.
+func (p *Pool) hasOther(excluded []structs.ReplicaID) bool {
+	for _, replica := range p.directory.Replicas(p.name) {
+		if replica.State != stateLeaving && !slices.Contains(excluded, replica.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // expireLocked ends the waits that are over their deadline or that no host asks
 // for, and frees slots that no host claimed.
 func (p *Pool) expireLocked(now time.Time) {
