--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -175,3 +175,42 @@
 		is.Equal(next.Replica, structs.ReplicaID("r0"))
 	})
 }
+
+// TestLocalChoiceByCache guards against a local choice that drops a program's cache,
+// and against one that overloads the replica that holds it.
+func TestLocalChoiceByCache(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 4, 2, DefaultLimits())
+		f.owners.set("")
+		counts := make(map[structs.ReplicaID]int)
+		for i := range 8 {
+			r := request(0, i)
+			r.Holders = []structs.ReplicaID{"r2"}
+			slot, err := f.clients[0].Acquire(t.Context(), r)
+			is.NoErr(err)
+			counts[slot.Replica]++
+			if i == 1 {
+				is.Equal(counts["r2"], 2)
+			}
+		}
+		is.True(counts["r2"] < 8)
+	})
+}
+
+// TestEveryReplicaExcluded guards against a failed call that waits for a replica which
+// it must not get, until its caller's time is over.
+func TestEveryReplicaExcluded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 2, 4, DefaultLimits())
+		failed := request(0, 0)
+		failed.Exclude = []structs.ReplicaID{"r0", "r1"}
+		start := time.Now()
+		_, err := f.clients[0].Acquire(t.Context(), failed)
+		var problem *structs.Problem
+		is.True(errors.As(err, &problem))
+		is.Equal(problem.Code, "no-replica")
+		is.True(time.Since(start) < time.Second)
+	})
+}
--- a/internal/host/load_test.go
+++ b/internal/host/load_test.go
@@ -224,3 +224,18 @@
 	s.t.Fatal("no host is ready")
 	return nil
 }
+
+func contextFor(limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), limit)
+}
+
+// anyHost returns a host that is up.
+func (s *site) anyHost() *runningHost {
+	for i := range s.config.hosts {
+		if r := s.host(i); r != nil {
+			return r
+		}
+	}
+	s.t.Fatal("no host is up")
+	return nil
+}
--- a/internal/owner/client.go
+++ b/internal/owner/client.go
@@ -40,6 +40,7 @@
 	ctx, cancel := withDefaultTimeout(ctx)
 	defer cancel()
 	id := PartitionOfProgram(request.Key)
+	c.service.active.begin(request.Call)
 	since := time.Now()
 	asking := func() program.BeginRequest {
 		request.Waited = time.Since(since)
@@ -51,6 +52,9 @@
 			return program.BeginResult{}, err
 		}
 		if !answer.Waiting {
+			if answer.Result.Problem != nil {
+				c.service.active.settle(request.Call)
+			}
 			return answer.Result, nil
 		}
 		if ctx.Err() != nil {
@@ -66,6 +70,9 @@
 func (c *Client) Settle(ctx context.Context, request program.SettleRequest) error {
 	settle := func(ctx context.Context) error {
 		answer, err := send(ctx, c.router, PartitionOfProgram(request.Key), methodSettle, request, c.service.Settle)
+		if err == nil {
+			c.service.active.settle(request.Call)
+		}
 		if err == nil && answer.Ended && request.Outcome == structs.OutcomeAnswered {
 			return errors.Join(ErrRejected, notCommitted())
 		}
@@ -91,7 +98,12 @@
 // Open opens an idempotency claim. The claim may be open after ErrUncertain; the caller
 // closes it then as not run.
 func (c *Client) Open(ctx context.Context, request program.OpenRequest) (program.OpenResult, error) {
-	return send(ctx, c.router, PartitionOfClaim(request.Claim), methodOpen, request, c.service.Open)
+	c.service.active.open(request.Call)
+	result, err := send(ctx, c.router, PartitionOfClaim(request.Claim), methodOpen, request, c.service.Open)
+	if err == nil && result.State != program.ClaimOpened {
+		c.service.active.close(request.Call)
+	}
+	return result, err
 }
 
 // Close ends a claim. When ctx ends first, it is repeated in the background, since a
@@ -99,6 +111,9 @@
 func (c *Client) Close(ctx context.Context, request program.CloseRequest) error {
 	closeClaim := func(ctx context.Context) error {
 		_, err := send(ctx, c.router, PartitionOfClaim(request.Claim), methodClose, request, c.service.Close)
+		if err == nil {
+			c.service.active.close(request.Call)
+		}
 		return err
 	}
 	return c.backlog.try(ctx, closeClaim)
--- a/internal/partition/manager.go
+++ b/internal/partition/manager.go
@@ -17,8 +17,11 @@
 	callTimeout = time.Second
 	// transferTimeout bounds one call that carries snapshots.
 	transferTimeout = 5 * time.Second
-	// retryPause is the pause between two tries of a replication or recovery.
-	retryPause = 50 * time.Millisecond
+	// retryPause is the first pause between two tries of a replication or recovery. It
+	// doubles up to longestPause, since an outage of the log can leave many partitions
+	// with a dead replica for hours.
+	retryPause   = 50 * time.Millisecond
+	longestPause = time.Second
 	// statusEvery is the time between two questions whether old copies may go.
 	statusEvery = time.Second
 	// keptTables is how many tables a host remembers.
@@ -36,9 +39,9 @@
 	// its owner. It must not block.
 	Activated func(ID, Machine)
 	// Lost is called when a partition may have lost all copies of its newest state. The
-	// machine holds the best copy found, or is empty; the host restores what it can. No
-	// lock is held and no operation runs on the machine meanwhile.
-	Lost func(ID, Machine)
+	// machine holds the best copy found, which has the base, or is empty; the host
+	// restores what it can. No lock is held and no operation runs on the machine meanwhile.
+	Lost func(ID, Base, Machine)
 }
 
 // Manager holds this host's copies of the partitions and runs operations at the
@@ -75,7 +78,7 @@
 		config.Activated = func(ID, Machine) {}
 	}
 	if config.Lost == nil {
-		config.Lost = func(ID, Machine) {}
+		config.Lost = func(ID, Base, Machine) {}
 	}
 	m := &Manager{config: config, self: config.Views.Self(), changed: make(chan struct{})}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
@@ -151,6 +154,20 @@
 	return Sender{Host: m.self, Incarnation: m.incarnation, View: m.numberLocked()}
 }
 
+// pause waits before another try, until the view changes or ctx ends.
+func (m *Manager) pause(ctx context.Context, pause time.Duration) {
+	m.mu.RLock()
+	changed := m.changed
+	m.mu.RUnlock()
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
 // await waits until this host has folded the view or the time is over.
 func (m *Manager) await(view structs.ViewNumber) {
 	timer := time.NewTimer(catchUpWait)
--- a/internal/partition/stage_test.go
+++ b/internal/partition/stage_test.go
@@ -90,7 +90,7 @@
 			Views:  v,
 			Caller: client,
 			New:    func(partition.ID) partition.Machine { return &journal{} },
-			Lost:   func(partition.ID, partition.Machine) { s.lost++ },
+			Lost:   func(partition.ID, partition.Base, partition.Machine) { s.lost++ },
 		})
 		s.views[host.ID], s.managers[host.ID], s.clients[host.ID] = v, manager, client
 		if err := server.Register(partition.ServiceName, partition.NewService(manager)); err != nil {
@@ -210,8 +210,13 @@
 		is.Equal(s.propose(hosts[0], 9, "a", 5*time.Second), partition.ErrNotReady)
 		_, err := s.read(hosts[0], 9, 5*time.Second)
 		is.Equal(err, partition.ErrNotReady)
+		status := s.managers[hosts[0]].Status()
+		is.Equal(status.Serving, 0)
+		is.True(status.Waiting > 0)
 		s.network.Restore(stageIP(hosts[0]), stageIP(hosts[2]))
 		is.NoErr(s.propose(hosts[0], 9, "a", 5*time.Second))
+		time.Sleep(time.Second)
+		is.Equal(s.managers[hosts[0]].Status(), partition.Status{View: view.Number, Serving: status.Waiting, Copies: partition.Count})
 	})
 }
 
--- a/internal/program/op.go
+++ b/internal/program/op.go
@@ -25,6 +25,7 @@
 	Close    *closeOp          `cbor:"10,keyasint,omitempty"`
 	Lossy    *lossyOp          `cbor:"11,keyasint,omitempty"`
 	Bucket   *account.BucketOp `cbor:"12,keyasint,omitempty"`
+	Attempt  *attemptOp        `cbor:"13,keyasint,omitempty"`
 }
 
 // beginOp begins a call.
@@ -43,6 +44,13 @@
 	At       int64  `cbor:"11,keyasint"`
 }
 
+// attemptOp reserves the cost of a call again, for an attempt at another replica.
+type attemptOp struct {
+	Key     Key            `cbor:"1,keyasint"`
+	Call    structs.CallID `cbor:"2,keyasint"`
+	Attempt int            `cbor:"3,keyasint"`
+}
+
 // settleOp ends a call.
 type settleOp struct {
 	Key     Key               `cbor:"1,keyasint"`
@@ -53,6 +61,8 @@
 	Replica structs.ReplicaID `cbor:"6,keyasint,omitempty"`
 	End     bool              `cbor:"7,keyasint,omitempty"`
 	At      int64             `cbor:"8,keyasint"`
+	// Cached is the part of the prompt that the engine did not compute.
+	Cached int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // endOp ends a program, or a root with its sub-agents.
@@ -105,6 +115,7 @@
 	Until   int64  `cbor:"1,keyasint"`
 	Counter uint64 `cbor:"2,keyasint"`
 	At      window `cbor:"3,keyasint"`
+	Now     int64  `cbor:"9,keyasint,omitempty"`
 }
 
 // encoding writes maps in one order, so that equal states have equal snapshots.
