--- a/internal/host/order_history_test.go
+++ b/internal/host/order_history_test.go
@@ -35,9 +35,6 @@
 	overlap bool
 }
 
-// victim returns the owner of a program of the load.
-func victim(s *site) int { return s.replicasOf("clinic", "return-0")[0] }
-
 // siteFaults returns the failures. A host that fails is one of three that differ
 // from fault to fault, so that pairs hit different hosts.
 func siteFaults() []siteFault {
