--- a/internal/fleet/freshness_test.go
+++ b/internal/fleet/freshness_test.go
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	now := time.Now()
 	view := &View{Number: 9, Hosts: []Host{{ID: "a", Incarnation: 1}, {ID: "b", Incarnation: 2}, {ID: "c", Incarnation: 3}}}
-	h := newHearsay()
+	h := newGossip()
 	beat := &Heartbeat{From: "b", Incarnation: 2, View: 9, Known: time.Second, LogDown: true, Ages: []byte{0, 0, 5}, Down: []byte{4}}
 	h.receive(beat, now, now.Add(-100*time.Millisecond), view)
 	age, logDown := h.age(view.Hosts[1], now)
@@ -69,7 +69,7 @@
 	is.True(logDown)
 	age, _ = h.age(Host{ID: "c", Incarnation: 4}, now)
 	is.Equal(age, oldestAge*ageStep)
-	unknown := newHearsay()
+	unknown := newGossip()
 	unknown.receive(beat, now, time.Time{}, view)
 	age, _ = unknown.age(view.Hosts[1], now)
 	is.Equal(age, oldestAge*ageStep)
--- a/internal/fleet/hearsay.go
+++ b/internal/fleet/gossip.go
@@ -6,9 +6,9 @@
 	"cowslipgw/internal/structs"
 )
 
-// hearsay holds what a host heard of the others. It is not safe for concurrent
-// use.
-type hearsay struct {
+// gossip holds what a host heard of the others, directly and through their heartbeats.
+// It is not safe for concurrent use.
+type gossip struct {
 	// direct is when a heartbeat of the host arrived.
 	direct map[structs.HostID]time.Time
 	// heard is when the host was alive, by its own heartbeat or by what others heard.
@@ -28,8 +28,8 @@
 	offsets map[string]structs.Offset
 }
 
-func newHearsay() *hearsay {
-	return &hearsay{
+func newGossip() *gossip {
+	return &gossip{
 		direct: make(map[structs.HostID]time.Time),
 		heard:  make(map[structs.HostID]heardHost),
 		peers:  make(map[structs.HostID]peerReport),
@@ -39,7 +39,7 @@
 // receive takes in a heartbeat that was sent at the given time or later. The zero
 // time means that its delay is not known; it then shows that the sender lives and
 // nothing else. view is the view that the heartbeat names, or nil if unknown.
-func (h *hearsay) receive(beat *Heartbeat, now, sent time.Time, view *View) {
+func (h *gossip) receive(beat *Heartbeat, now, sent time.Time, view *View) {
 	h.direct[beat.From] = now
 	if sent.IsZero() {
 		return
@@ -60,7 +60,7 @@
 }
 
 // note keeps the newer of two reports.
-func (h *hearsay) note(id structs.HostID, report heardHost) {
+func (h *gossip) note(id structs.HostID, report heardHost) {
 	old, found := h.heard[id]
 	if found && (old.incarnation > report.incarnation || !report.at.After(old.at)) {
 		return
@@ -69,7 +69,7 @@
 }
 
 // keep forgets the hosts that are not in the view.
-func (h *hearsay) keep(view *View) {
+func (h *gossip) keep(view *View) {
 	for id, report := range h.heard {
 		if !view.Has(id, report.incarnation) {
 			delete(h.heard, id)
@@ -89,7 +89,7 @@
 
 // age is the time since the host was heard, at most the oldest that a heartbeat
 // can express.
-func (h *hearsay) age(host Host, now time.Time) (time.Duration, bool) {
+func (h *gossip) age(host Host, now time.Time) (time.Duration, bool) {
 	report, found := h.heard[host.ID]
 	if !found || report.incarnation != host.Incarnation {
 		return oldestAge * ageStep, false
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -68,7 +68,7 @@
 	replaced    bool
 	evictedAt   time.Time
 	probed      time.Time
-	hearsay     *hearsay
+	gossip      *gossip
 	echoes      map[structs.HostID]echo
 	watch       watchPlan
 	isolated    time.Time
@@ -102,7 +102,7 @@
 		state:      NewState(),
 		fromStart:  true,
 		changed:    make(chan struct{}),
-		hearsay:    newHearsay(),
+		gossip:     newGossip(),
 		echoes:     make(map[structs.HostID]echo),
 		lastStep:   now,
 		snapshotAt: now,
@@ -197,7 +197,7 @@
 		m.fromStart = false
 	}
 	m.view.Store(view)
-	m.hearsay.keep(view)
+	m.gossip.keep(view)
 	for id := range m.echoes {
 		if view.Index(id) < 0 {
 			delete(m.echoes, id)
--- a/internal/fleet/member_freshness.go
+++ b/internal/fleet/member_freshness.go
@@ -23,7 +23,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	freshness.Member = m.incarnation != 0
-	for _, report := range m.hearsay.peers {
+	for _, report := range m.gossip.peers {
 		included := true
 		for stream, offset := range report.offsets {
 			included = included && offsets[stream] >= offset
@@ -34,7 +34,7 @@
 		if host.ID == m.config.Self.ID {
 			continue
 		}
-		age, down := m.hearsay.age(host, now)
+		age, down := m.gossip.age(host, now)
 		freshness.Others = append(freshness.Others, HostKnowledge{Heard: age, LogDown: down})
 	}
 	return freshness
--- a/internal/fleet/member_heartbeat.go
+++ b/internal/fleet/member_heartbeat.go
@@ -92,7 +92,7 @@
 		if host.ID == m.config.Self.ID {
 			continue
 		}
-		age, down := m.hearsay.age(host, now)
+		age, down := m.gossip.age(host, now)
 		beat.Ages[i] = encodeAge(age)
 		if down {
 			setBit(beat.Down, i)
@@ -125,7 +125,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if host, found := m.View().Find(beat.From); found && host.Incarnation == beat.Incarnation {
-		m.hearsay.receive(beat, now, m.sentAt(beat, now), m.viewLocked(beat.View))
+		m.gossip.receive(beat, now, m.sentAt(beat, now), m.viewLocked(beat.View))
 	}
 	return HeartbeatReply{Stamp: m.stamp(now), Offsets: m.offsets()}
 }
--- a/internal/fleet/member_step.go
+++ b/internal/fleet/member_step.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		sending++
-		silent[id] = now.Sub(later(m.hearsay.direct[id], entry.since)) > SuspectAfter
+		silent[id] = now.Sub(later(m.gossip.direct[id], entry.since)) > SuspectAfter
 		if !silent[id] {
 			delete(silent, id)
 		}
@@ -146,9 +146,9 @@
 
 func (m *Member) heardLately(entry watchedHost, now time.Time) bool {
 	if entry.sends {
-		return now.Sub(m.hearsay.direct[entry.host.ID]) <= SuspectAfter
+		return now.Sub(m.gossip.direct[entry.host.ID]) <= SuspectAfter
 	}
-	age, _ := m.hearsay.age(entry.host, now)
+	age, _ := m.gossip.age(entry.host, now)
 	return age <= SuspectAfter
 }
 
--- a/internal/logservice/decode_test.go
+++ b/internal/logservice/decode_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"errors"
-	"fmt"
 	"testing"
 
-	"github.com/matryer/is"
-
 	"cowslipgw/internal/logservice"
 	"cowslipgw/internal/structs"
 )
@@ -43,20 +40,3 @@
 		}
 	})
 }
-
-// TestIDSet guards against a retried record that is folded twice, and against
-// sets that differ after a start from a snapshot.
-func TestIDSet(t *testing.T) {
-	is := is.New(t)
-	set := logservice.NewIDSet(3)
-	for i := range 5 {
-		is.True(set.Add(fmt.Sprint(i)))
-		is.True(!set.Add(fmt.Sprint(i)))
-	}
-	is.Equal(set.IDs(), []string{"2", "3", "4"})
-	copied := logservice.NewIDSet(3, set.IDs()...)
-	for _, id := range []string{"3", "0", "2", "5", "4"} {
-		is.Equal(copied.Add(id), set.Add(id))
-		is.Equal(copied.IDs(), set.IDs())
-	}
-}
