--- /dev/null
+++ b/internal/placement/world_test.go
@@ -0,0 +1,202 @@
+package placement_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/lists"
+	"cowslipgw/internal/placement"
+	"cowslipgw/internal/standin"
+	"cowslipgw/internal/standin/engine"
+	"cowslipgw/internal/standin/hostlist"
+	"cowslipgw/internal/standin/weights"
+	"cowslipgw/internal/structs"
+	"cowslipgw/internal/transport"
+	"cowslipgw/internal/upstream"
+)
+
+const (
+	listIP    = "10.1.0.2"
+	weightsIP = "10.1.0.3"
+	rate      = 8 << 20
+	size      = 16 << 20 // 2 s at rate
+	// quiet is the stated time in which a new planner gives no order.
+	quiet = 12 * time.Second
+)
+
+// world is a pool "llm" with engines that load from a weight store.
+type world struct {
+	t       *testing.T
+	network *transport.Memory
+	list    *hostlist.Server
+	store   *weights.Store
+	engines []*engine.Engine
+	servers []*standin.Server
+	ctx     context.Context
+
+	mu     sync.Mutex
+	demand map[string]placement.Demand
+}
+
+// run runs a test against a pool with engines that have the models given.
+func run(t *testing.T, checksFence bool, test func(w *world), models ...string) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := &world{t: t, ctx: ctx, network: transport.NewMemory(), list: hostlist.New(0)}
+		w.store = weights.New(weights.Settings{BytesPerSecond: rate, Models: map[string]int64{"a": size, "b": size, "c": size}})
+		w.serve(listIP, w.list)
+		w.serve(weightsIP, w.store)
+		for i, model := range models {
+			ip, id := fmt.Sprintf("10.2.0.%d", i+1), fmt.Sprintf("r%d", i)
+			e := engine.New(engine.Settings{
+				ID: id, Models: []string{model}, Slots: 4, ChecksFence: checksFence,
+				Weights: weightsIP + ":80", Network: w.network.Host(ip),
+			})
+			w.engines = append(w.engines, e)
+			w.serve(ip, e)
+			w.list.Put(hostlist.Replica{Pool: "llm", ID: id, Address: ip + ":80", Domain: "d", State: "live", Kind: "engine", ChecksFence: checksFence})
+		}
+		test(w)
+		cancel()
+		for _, e := range w.engines {
+			e.Close()
+		}
+		for _, s := range w.servers {
+			_ = s.Close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func (w *world) serve(ip string, handler http.Handler) {
+	w.t.Helper()
+	server, err := standin.Listen(w.ctx, w.network.Host(ip), ip+":80", handler)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.servers = append(w.servers, server)
+}
+
+// Demand implements placement.Demands.
+func (w *world) Demand(structs.PoolName) map[string]placement.Demand {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.demand
+}
+
+func (w *world) want(demand map[string]placement.Demand) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.demand = demand
+}
+
+// Current implements placement.Lists.
+func (w *world) Current() *lists.Lists {
+	l := &lists.Lists{Models: make(map[string]lists.Model)}
+	for _, name := range []string{"a", "b", "c"} {
+		l.Models[name] = lists.Model{Name: name, Pool: "llm"}
+	}
+	return l
+}
+
+// planner is one host. It believes to plan the pool by its view.
+type planner struct {
+	*world
+	client *upstream.Client
+	late   bool
+	runner *placement.Runner
+
+	mu     sync.Mutex
+	view   structs.ViewNumber
+	self   bool
+	paused chan struct{}
+	errs   []error
+}
+
+// plan starts a host.
+func (w *world) plan(ip string, view structs.ViewNumber) *planner {
+	p := &planner{world: w, view: view, self: true}
+	p.client = upstream.NewClient(upstream.ClientOptions{
+		Network: w.network.Host(ip), FirstByte: time.Second, Answer: time.Minute, Idle: time.Second, AnswerLimit: 1 << 20,
+	})
+	directory := upstream.NewDirectory(upstream.DirectoryOptions{Client: p.client, HostList: listIP + ":80"})
+	go directory.Run(w.ctx)
+	p.runner = placement.NewRunner(placement.Options{
+		Owner: p, Directory: directory, Demands: w, Orders: p, Lists: w, Logger: event.Discard(),
+		Settings: placement.Settings{WeightRate: rate, ModelBytes: size, ModelsPerReplica: 1},
+	})
+	go p.runner.Run(w.ctx)
+	return p
+}
+
+// Plans implements placement.Owner.
+func (p *planner) Plans(structs.PoolName) (structs.ViewNumber, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view, p.self
+}
+
+// Order implements placement.Orders. A paused host sends when it resumes; with late it
+// does so even if the time for it has passed, as when it was paused in the write.
+func (p *planner) Order(ctx context.Context, address string, order upstream.Order) error {
+	p.mu.Lock()
+	paused := p.paused
+	p.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+	if p.late {
+		ctx = p.ctx
+	}
+	err := p.client.Order(ctx, address, order)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.errs = append(p.errs, err)
+	return err
+}
+
+// pause makes the host stop when it is about to send, and returns what resumes it.
+func (p *planner) pause() (resume func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	paused := make(chan struct{})
+	p.paused = paused
+	return func() {
+		p.mu.Lock()
+		p.paused = nil
+		p.mu.Unlock()
+		close(paused)
+	}
+}
+
+func (p *planner) sent() []error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.errs)
+}
+
+// ordered returns the models that a replica accepted orders for.
+func (w *world) ordered(i int) []string {
+	models := []string{}
+	for _, order := range w.engines[i].Orders() {
+		models = append(models, order.Model)
+	}
+	return models
+}
+
+// orders counts the accepted orders at all replicas.
+func (w *world) orders() int {
+	count := 0
+	for i := range w.engines {
+		count += len(w.ordered(i))
+	}
+	return count
+}
