Say why the load test waits 10 s for further turns

No target states this time; a call in an engine that hung when the faults ended is given up after 8 s, as the test's settings say, and blocks its program until then. Change: a comment; the check stays as it is. Measured: nothing; no behaviour changes. Conclusion: the wait follows from the settings of the test.

--- a/internal/host/order_history_test.go
+++ b/internal/host/order_history_test.go
@@ -152,6 +152,8 @@
 		}
 		s.awaitReady()
 		before := load.count()
+		// A call that hangs in an engine is given up after 8 s (impatient), and the next
+		// call of its program begins only then.
 		time.Sleep(10 * time.Second)
 		load.end(log)
 		is.True(load.count() > before) // the load must go on after the faults
