--- /dev/null
+++ b/cmd/cowslipgw/gateway.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/sirupsen/logrus"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/platform"
+)
+
+// logLines is the number of log lines that may wait for a slow output.
+const logLines = 4096
+
+// gatewayCommand runs one host of the system on the users' platform.
+func gatewayCommand() command {
+	return command{name: "gateway", summary: "run one host on the users' platform", run: runGateway}
+}
+
+func runGateway(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	config := flags.String("config", "", "the platform's settings `file`; empty: the one that the environment names")
+	check := flags.Bool("check", false, "validate the settings file and exit")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	if flags.NArg() > 0 {
+		fmt.Fprintln(stderr, "usage: cowslipgw gateway [-config FILE] [-check]")
+		return exitUsage
+	}
+	path := *config
+	if path == "" {
+		var err error
+		if path, err = platform.SettingsPath(); err != nil {
+			fmt.Fprintf(stderr, "cowslipgw gateway: %v\n", err)
+			return exitUsage
+		}
+	}
+	loaded, err := platform.LoadSettings(path)
+	if err != nil {
+		fmt.Fprintf(stderr, "cowslipgw gateway: %v\n", err)
+		return exitFault
+	}
+	if *check {
+		return exitOK
+	}
+	queue := event.NewQueue(stdout, logLines)
+	defer queue.Close()
+	process, err := newGatewayProcess(loaded, path, event.New(queue, true, logrus.InfoLevel))
+	if err != nil {
+		fmt.Fprintf(stderr, "cowslipgw gateway: %v\n", err)
+		return exitFault
+	}
+	process.dropped = queue.Dropped
+	if err := process.run(ctx); err != nil {
+		fmt.Fprintf(stderr, "cowslipgw gateway: %v\n", err)
+		return exitFault
+	}
+	return exitOK
+}
--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -28,6 +28,7 @@
 func commands() []command {
 	return []command{
 		serveCommand(),
+		gatewayCommand(),
 		devCommand(),
 		{name: "check", summary: "report the faults of a settings file or of the two lists", run: check},
 		{name: "lists", summary: "get, put or show the history of the operators' lists", run: runLists},
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/forward"
+	"cowslipgw/internal/quota"
+	"cowslipgw/internal/replica"
+	"cowslipgw/internal/route"
+	"cowslipgw/internal/turns"
+)
+
+// bodyLimit is the largest body while the configuration names none.
+const bodyLimit = 4 << 20
+
+// Turns keeps the turns of programs.
+type Turns interface {
+	Begin(ctx context.Context, args turns.BeginArgs) (reply turns.BeginReply, flattened bool)
+	End(ctx context.Context, t turns.Turn) bool
+}
+
+// Gateway serves callers. It implements http.Handler.
+type Gateway struct {
+	codec    Codec
+	config   *Config
+	limiter  *quota.Limiter
+	replicas *replica.Set
+	pool     *forward.Pool
+	turns    Turns
+	events   *event.Logger
+
+	leaving atomic.Bool
+	active  atomic.Int64
+	// settling counts turns that are being settled after their answer.
+	settling atomic.Int64
+}
+
+// Parts are what a gateway is made of.
+type Parts struct {
+	Codec    Codec
+	Config   *Config
+	Limiter  *quota.Limiter
+	Replicas *replica.Set
+	Pool     *forward.Pool
+	Turns    Turns
+	Events   *event.Logger
+}
+
+// New returns a gateway.
+func New(p Parts) *Gateway {
+	return &Gateway{codec: p.Codec, config: p.Config, limiter: p.Limiter, replicas: p.Replicas,
+		pool: p.Pool, turns: p.Turns, events: p.Events}
+}
+
+// Leave makes the gateway end each connection with its next answer.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Leaving reports whether Leave was called.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
+// Active returns the number of requests and settlements under way.
+func (g *Gateway) Active() int64 { return g.active.Load() + g.settling.Load() }
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	x := &exchange{g: g, w: w, start: time.Now()}
+	defer x.report()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if f := x.admit(r); f != nil {
+		x.refuse(*f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	if x.route.KeepsTurns {
+		x.serveTurn(ctx)
+		return
+	}
+	x.serve(ctx)
+}
+
+// admit decides whether a request may run, up to its rate.
+func (x *exchange) admit(r *http.Request) *refusal {
+	call, err := x.g.codec.Decode(r)
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
+	}
+	x.call = call
+	table := x.g.config.Table()
+	if table == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryOther}
+	}
+	if f := x.authorize(r.Context(), table); f != nil {
+		return f
+	}
+	limit := x.table.Limits.BodyBytes
+	if limit <= 0 {
+		limit = bodyLimit
+	}
+	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+		}
+		return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
+	}
+	// The body may have taken long; a key is judged by what is known now.
+	if x.account != nil && !x.g.config.KeysUsable() {
+		return keysStale()
+	}
+	if admitted, wait := x.g.limiter.Admit(x.account); !admitted {
+		return &refusal{status: http.StatusTooManyRequests, reason: "rate of the client account exceeded", retryAfter: wait}
+	}
+	patience := x.route.Timeout
+	if call.Patience > 0 && (patience <= 0 || call.Patience < patience) {
+		patience = call.Patience
+	}
+	x.deadline = x.start.Add(patience)
+	return nil
+}
+
+func keysStale() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "configuration is unconfirmed", retryAfter: retryOther}
+}
+
+// authorize finds the route and the client account. A denial is confirmed with the
+// store first, since the configuration may just have changed.
+func (x *exchange) authorize(ctx context.Context, table *route.Table) *refusal {
+	f := x.match(table)
+	if f == nil || f.status == http.StatusServiceUnavailable {
+		return f
+	}
+	if !x.g.config.Confirm(ctx) {
+		return keysStale()
+	}
+	return x.match(x.g.config.Table())
+}
+
+func (x *exchange) match(table *route.Table) *refusal {
+	x.table = table
+	x.route = table.Match(x.call.Host, x.call.Path)
+	if x.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no such route"}
+	}
+	x.account = nil
+	if table.NeedsKey(x.route) {
+		if !x.g.config.KeysUsable() {
+			return keysStale()
+		}
+		if x.account = table.AccountOfKey(x.call.Key); x.account == nil {
+			return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+		}
+	}
+	// All requests of a program on a route go to the same service.
+	sharer := x.call.Program
+	if sharer == "" {
+		sharer = x.call.ID
+	}
+	name := x.route.Service(xxhash.Sum64String(sharer))
+	if x.service = table.Services[name]; x.service == nil {
+		x.service = &route.Service{Name: name}
+	}
+	return nil
+}
+
+var (
+	requestsAnswered = metrics.NewCounter(`cowslipgw_requests_total{outcome="answered"}`)
+	requestsRefused  = metrics.NewCounter(`cowslipgw_requests_total{outcome="refused"}`)
+	requestsFailed   = metrics.NewCounter(`cowslipgw_requests_total{outcome="failed"}`)
+	requestSeconds   = metrics.NewHistogram("cowslipgw_request_seconds")
+)
--- /dev/null
+++ b/internal/gateway/refusal.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	status int
+	reason string
+	// retryAfter, if set, is when the caller may come back.
+	retryAfter time.Duration
+}
+
+// Pauses after which a refused caller is told to come back.
+const (
+	// retryOther: another host may serve the request at once.
+	retryOther = 20 * time.Millisecond
+	// retrySoon: a replica or a home is expected to answer again.
+	retrySoon = 100 * time.Millisecond
+)
+
+// write sends the refusal as JSON.
+func (f refusal) write(w http.ResponseWriter) {
+	body, err := json.Marshal(map[string]string{"error": f.reason})
+	if err != nil {
+		panic("refusal cannot be encoded: " + err.Error())
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(f.status)
+	// A caller that has left reads no refusal.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/peers/beacon.go
@@ -0,0 +1,89 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/oops"
+)
+
+// maxDatagram is the largest heartbeat that is read.
+const maxDatagram = 16 << 10
+
+// Beacon sends and receives heartbeats.
+type Beacon struct {
+	table *Table
+	conn  *net.UDPConn
+	// admitted returns the counters that a heartbeat carries; received gets those of others.
+	admitted func() map[uint32]uint32
+	received func(host string, incarnation int64, admitted map[uint32]uint32)
+}
+
+// NewBeacon listens at the table's own address.
+func NewBeacon(table *Table, admitted func() map[uint32]uint32,
+	received func(host string, incarnation int64, admitted map[uint32]uint32)) (*Beacon, error) {
+	addr, err := net.ResolveUDPAddr("udp4", table.self.Addr)
+	if err != nil {
+		return nil, oops.Wrapf(err, "resolve own address")
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, oops.Wrapf(err, "listen for heartbeats")
+	}
+	return &Beacon{table: table, conn: conn, admitted: admitted, received: received}, nil
+}
+
+// Close ends Receive.
+func (b *Beacon) Close() error { return b.conn.Close() }
+
+// Run sends heartbeats until ctx ends.
+func (b *Beacon) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		b.Send()
+		timer := time.NewTimer(b.table.Interval())
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// Send sends one heartbeat to every other host.
+func (b *Beacon) Send() {
+	leaving, serving := b.table.status()
+	beat := Heartbeat{Host: b.table.self, Leaving: leaving, Serving: serving, Admitted: b.admitted()}
+	data, err := cbor.Marshal(beat)
+	if err != nil {
+		panic("heartbeat cannot be encoded: " + err.Error())
+	}
+	for _, h := range b.table.Others() {
+		if addr, err := net.ResolveUDPAddr("udp4", h.Addr); err == nil {
+			// A lost datagram is made up for by the next one.
+			_, _ = b.conn.WriteToUDP(data, addr)
+		}
+	}
+}
+
+// Receive enters heartbeats until the beacon is closed.
+func (b *Beacon) Receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := b.conn.ReadFromUDP(buffer)
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				continue
+			}
+			return
+		}
+		var beat Heartbeat
+		if cbor.Unmarshal(buffer[:n], &beat) != nil {
+			continue // not a heartbeat of ours
+		}
+		if b.table.Heard(beat) {
+			b.received(beat.Host.ID, beat.Host.Incarnation, beat.Admitted)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/service.go
@@ -0,0 +1,23 @@
+package route
+
+// Service is a pool of upstream replicas.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one replica accepts from all callers together.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that one engine runs at once.
+	Slots int
+	// CacheTokens is the memory of one engine, in tokens.
+	CacheTokens int
+	// TokensPerEvent is the number of tokens that one event of a stream stands for.
+	TokensPerEvent int
+	// Backups says that the memory of a run can be copied to another engine as it grows.
+	Backups bool
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,65 @@
+package route
+
+import "strings"
+
+// Table is one version of the configuration. It is immutable.
+type Table struct {
+	Version  int64
+	Limits   Limits
+	Services map[string]*Service
+
+	routes   map[string][]*Route
+	keys     map[string]*Account
+	accounts map[string]*Account
+	closed   bool
+}
+
+// NewTable indexes the parts of a version. Keyed says whether routes that are not
+// public require a key.
+func NewTable(version int64, routes []*Route, services []*Service, accounts []*Account, limits Limits, keyed bool) *Table {
+	t := &Table{
+		Version:  version,
+		Limits:   limits,
+		Services: make(map[string]*Service, len(services)),
+		routes:   make(map[string][]*Route),
+		keys:     make(map[string]*Account),
+		accounts: make(map[string]*Account, len(accounts)),
+		closed:   keyed,
+	}
+	for _, r := range routes {
+		t.routes[r.Host] = append(t.routes[r.Host], r)
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for _, a := range accounts {
+		t.accounts[a.Name] = a
+		for _, key := range a.Keys {
+			t.keys[key] = a
+		}
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path on host, or nil.
+func (t *Table) Match(host, path string) *Route {
+	var best *Route
+	for _, r := range t.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// HasHost reports whether any route belongs to host.
+func (t *Table) HasHost(host string) bool { return len(t.routes[host]) > 0 }
+
+// NeedsKey reports whether requests on r need a key.
+func (t *Table) NeedsKey(r *Route) bool { return t.closed && !r.Public }
+
+// AccountOfKey returns the account that holds key, or nil.
+func (t *Table) AccountOfKey(key string) *Account { return t.keys[key] }
+
+// Accounts returns all client accounts by name. The map must not be changed.
+func (t *Table) Accounts() map[string]*Account { return t.accounts }
--- /dev/null
+++ b/internal/turns/change.go
@@ -0,0 +1,12 @@
+package turns
+
+// change is a decided change on its way into the store.
+type change struct {
+	turn Turn
+	// budget bounds the program's tokens when the change reserves some; 0 otherwise.
+	budget int
+	// done is closed when the change is in the store or was withdrawn.
+	done chan struct{}
+	// withdrawn says that the budget turned out to be used by another home.
+	withdrawn bool
+}
--- /dev/null
+++ b/internal/turns/client.go
@@ -0,0 +1,185 @@
+package turns
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cowslipgw/internal/peers"
+)
+
+const (
+	// maxCandidates is the number of homes that are tried for one call.
+	maxCandidates = 3
+	// homeTimeout limits one call of a home: an append of a few milliseconds, or the
+	// delay until copies are made and their round trip.
+	homeTimeout = 400 * time.Millisecond
+	// locateTimeout limits the search for a turn at all hosts.
+	locateTimeout = 300 * time.Millisecond
+	// copyTimeout limits one copy of changes at another host.
+	copyTimeout = 200 * time.Millisecond
+	// wantedCopies is how many other hosts must hold a change that the store lacks.
+	wantedCopies = 2
+)
+
+// Hosts is what the client needs of the table of hosts.
+type Hosts interface {
+	Self() peers.Host
+	Candidates(key uint64, limit int) []peers.Host
+}
+
+// Caller calls other hosts.
+type Caller interface {
+	Call(ctx context.Context, h peers.Host, method string, args, reply any) error
+}
+
+// Client reaches the homes of programs. It implements Copier.
+type Client struct {
+	hosts  Hosts
+	caller Caller
+	home   *Home
+}
+
+// NewClient returns a client. SetHome must be called before its first use.
+func NewClient(hosts Hosts, caller Caller) *Client {
+	return &Client{hosts: hosts, caller: caller}
+}
+
+// SetHome sets the home at this host.
+func (c *Client) SetHome(home *Home) { c.home = home }
+
+// partitionKey is the rendezvous key of a partition's home.
+func partitionKey(partition int) uint64 { return uint64(partition) + 1 }
+
+// Owns reports whether this host is the first candidate for a partition.
+func (c *Client) Owns(partition int) bool {
+	first := c.hosts.Candidates(partitionKey(partition), 1)
+	return len(first) > 0 && first[0].ID == c.hosts.Self().ID
+}
+
+// Near reports whether this host is one of the candidates that are tried.
+func (c *Client) Near(partition int) bool {
+	for _, h := range c.hosts.Candidates(partitionKey(partition), maxCandidates) {
+		if h.ID == c.hosts.Self().ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Begin asks the homes of the program in turn. A turn to continue that its partition
+// does not hold is looked for at all hosts; its chain then comes back in Chain with
+// flattened set, and the caller stores it as part of the turn's input.
+func (c *Client) Begin(ctx context.Context, args BeginArgs) (reply BeginReply, flattened bool) {
+	reply = c.begin(ctx, args)
+	if reply.Outcome != UnknownParent {
+		return reply, false
+	}
+	found := c.locate(ctx, LocateArgs{Account: args.Account, Turn: args.Parent})
+	if found.Outcome != Located {
+		return BeginReply{Outcome: found.Outcome}, false
+	}
+	args.Parent = ""
+	reply = c.begin(ctx, args)
+	reply.Chain, reply.Replica = found.Chain, found.Replica
+	return reply, true
+}
+
+func (c *Client) begin(ctx context.Context, args BeginArgs) BeginReply {
+	for _, h := range c.hosts.Candidates(partitionKey(PartitionOf(args.Account, args.Program)), maxCandidates) {
+		attempt, cancel := context.WithTimeout(ctx, homeTimeout)
+		reply := BeginReply{}
+		var err error
+		if h.ID == c.hosts.Self().ID {
+			reply = c.home.Begin(attempt, args)
+		} else {
+			err = c.caller.Call(attempt, h, ServiceName+".Begin", args, &reply)
+		}
+		cancel()
+		if err == nil && reply.Outcome != Unavailable {
+			return reply
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return BeginReply{Outcome: Unavailable}
+}
+
+// End settles a turn at one of its homes. It reports whether the turn is kept.
+func (c *Client) End(ctx context.Context, t Turn) bool {
+	for _, h := range c.hosts.Candidates(partitionKey(PartitionOf(t.Account, t.Program)), maxCandidates) {
+		attempt, cancel := context.WithTimeout(ctx, homeTimeout)
+		reply := EndReply{}
+		var err error
+		if h.ID == c.hosts.Self().ID {
+			reply.Kept = c.home.End(attempt, t)
+		} else {
+			err = c.caller.Call(attempt, h, ServiceName+".End", EndArgs{Turn: t}, &reply)
+		}
+		cancel()
+		if err == nil && reply.Kept {
+			return true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return false
+}
+
+// locate asks all live hosts for a turn. Outcome is UnknownParent only if hosts that
+// have the whole state of all partitions answered.
+func (c *Client) locate(ctx context.Context, args LocateArgs) LocateReply {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	hosts := c.hosts.Candidates(0, 1<<16)
+	replies := make(chan LocateReply, len(hosts))
+	for _, h := range hosts {
+		go func() {
+			reply := LocateReply{Outcome: Unavailable}
+			if h.ID == c.hosts.Self().ID {
+				reply = c.home.Locate(args)
+			} else if c.caller.Call(ctx, h, ServiceName+".Locate", args, &reply) != nil {
+				reply = LocateReply{Outcome: Unavailable}
+			}
+			replies <- reply
+		}()
+	}
+	certain := uint64(0)
+	for range hosts {
+		reply := <-replies
+		if reply.Outcome == Located || reply.Outcome == ForeignParent {
+			return reply
+		}
+		certain |= reply.Certain
+	}
+	if certain != ^uint64(0) {
+		return LocateReply{Outcome: Unavailable}
+	}
+	return LocateReply{Outcome: UnknownParent}
+}
+
+// Copy implements Copier.
+func (c *Client) Copy(ctx context.Context, args CopyArgs) bool {
+	self := c.hosts.Self().ID
+	var others []peers.Host
+	for _, h := range c.hosts.Candidates(partitionKey(args.Partition), maxCandidates+1) {
+		if h.ID != self && len(others) < wantedCopies {
+			others = append(others, h)
+		}
+	}
+	if len(others) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, h := range others {
+		group.Go(func() error {
+			return c.caller.Call(ctx, h, ServiceName+".Copy", args, &CopyReply{})
+		})
+	}
+	return group.Wait() == nil
+}
--- /dev/null
+++ b/internal/turns/home.go
@@ -0,0 +1,394 @@
+package turns
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/storelog"
+)
+
+const (
+	// copyDelay is how long a change waits for the store before other hosts copy it. An
+	// append takes a few milliseconds when the store is well.
+	copyDelay = 40 * time.Millisecond
+	// loadTimeout limits the load of a partition.
+	loadTimeout = 4 * time.Second
+	// appendTimeout limits one append.
+	appendTimeout = 1500 * time.Millisecond
+	// appendPause is the pause before an append is repeated.
+	appendPause = 60 * time.Millisecond
+	// maxBatch bounds the records of one append, in bytes.
+	maxBatch = 1 << 20
+	// sweepInterval is how often expired turns and old copies are looked for.
+	sweepInterval = 2 * time.Second
+	// copyAge is the age at which a copy is compared with the store.
+	copyAge = 3 * time.Second
+	// expireBatch is the most turns that one sweep of a partition removes.
+	expireBatch = 200
+)
+
+// Copier keeps changes at other hosts. It reports whether enough hosts have them to
+// survive the loss of this one.
+type Copier interface {
+	Copy(ctx context.Context, args CopyArgs) bool
+}
+
+// Home decides for partitions. Its methods are safe for concurrent use.
+type Home struct {
+	log    storelog.Log
+	copier Copier
+	events *event.Logger
+	parts  [Partitions]*partition
+}
+
+// NewHome returns a home whose topics have partsPerTopic partitions each.
+func NewHome(log storelog.Log, copier Copier, partsPerTopic int, events *event.Logger) *Home {
+	h := &Home{log: log, copier: copier, events: events}
+	for id := range h.parts {
+		h.parts[id] = newPartition(id, partsPerTopic)
+	}
+	return h
+}
+
+// Begin decides whether a turn may begin and reserves its tokens.
+func (h *Home) Begin(ctx context.Context, args BeginArgs) BeginReply {
+	p := h.parts[PartitionOf(args.Account, args.Program)]
+	if !h.ensureLoaded(ctx, p) {
+		return BeginReply{Outcome: Unavailable}
+	}
+	reply, c := h.decide(p, args)
+	if reply.Outcome == UnknownParent || reply.Outcome == Exhausted {
+		// Another home may have written since this one last read.
+		if h.sync(ctx, p) == nil {
+			reply, c = h.decide(p, args)
+		}
+	}
+	if c == nil {
+		return reply
+	}
+	if !h.waitKept(ctx, p, c) {
+		return BeginReply{Outcome: Unavailable}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.withdrawn {
+		return BeginReply{Outcome: Exhausted}
+	}
+	return reply
+}
+
+// decide applies the reservation of a turn to the state, if its budget holds it.
+func (h *Home) decide(p *partition, args BeginArgs) (BeginReply, *change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply := BeginReply{Outcome: Granted}
+	if args.Parent != "" {
+		parent := p.turns[args.Parent]
+		if parent == nil || parent.State != Ended {
+			return BeginReply{Outcome: UnknownParent}, nil
+		}
+		if parent.Account != args.Account {
+			return BeginReply{Outcome: ForeignParent}, nil
+		}
+		chain, whole := p.chainLocked(parent)
+		if !whole {
+			return BeginReply{Outcome: UnknownParent}, nil
+		}
+		reply.Chain, reply.Replica = chain, parent.Replica
+	}
+	used := 0
+	if g := p.programs[programKey{args.Account, args.Program}]; g != nil {
+		used = g.tokens
+	}
+	if old := p.turns[args.Turn]; old != nil {
+		used -= old.Tokens
+	}
+	if args.Budget > 0 && used+args.MaxTokens > args.Budget {
+		return BeginReply{Outcome: Exhausted}, nil
+	}
+	c := &change{budget: args.Budget, done: make(chan struct{}), turn: Turn{
+		ID: args.Turn, Parent: args.Parent, Account: args.Account, Program: args.Program,
+		State: Open, Tokens: args.MaxTokens,
+		Expiry: time.Now().UnixMilli() + args.RetentionMS,
+	}}
+	h.enterLocked(p, c)
+	return reply, c
+}
+
+// End settles a turn. It reports whether the turn is kept.
+func (h *Home) End(ctx context.Context, t Turn) bool {
+	p := h.parts[PartitionOf(t.Account, t.Program)]
+	if !h.ensureLoaded(ctx, p) {
+		return false
+	}
+	c := &change{turn: t, done: make(chan struct{})}
+	p.mu.Lock()
+	h.enterLocked(p, c)
+	p.mu.Unlock()
+	return h.waitKept(ctx, p, c)
+}
+
+// enterLocked applies a change and queues it for the store.
+func (h *Home) enterLocked(p *partition, c *change) {
+	t := c.turn
+	p.mergeLocked(&t)
+	p.unsaved = append(p.unsaved, c)
+	if !p.writing {
+		p.writing = true
+		go h.write(p)
+	}
+}
+
+// waitKept waits until the store or enough other hosts have the change.
+func (h *Home) waitKept(ctx context.Context, p *partition, c *change) bool {
+	p.mu.Lock()
+	troubled := p.troubled
+	p.mu.Unlock()
+	if !troubled {
+		timer := time.NewTimer(copyDelay)
+		defer timer.Stop()
+		select {
+		case <-c.done:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+		}
+		p.mu.Lock()
+		p.troubled = true
+		p.mu.Unlock()
+	}
+	copied := make(chan bool, 1)
+	go func() { copied <- h.copier.Copy(ctx, CopyArgs{Partition: p.id, Turns: []Turn{c.turn}}) }()
+	for {
+		select {
+		case <-c.done:
+			return true
+		case <-ctx.Done():
+			return false
+		case enough := <-copied:
+			if enough {
+				h.events.Log(event.TurnUnsaved, event.Fields{"turn": c.turn.ID, "partition": p.id})
+				return true
+			}
+			copied = nil
+		}
+	}
+}
+
+// Locate looks for a turn of an account in all partitions that are loaded here.
+func (h *Home) Locate(args LocateArgs) LocateReply {
+	reply := LocateReply{Outcome: UnknownParent}
+	for _, p := range h.parts {
+		p.mu.Lock()
+		if p.loaded {
+			reply.Certain |= 1 << p.id
+		}
+		t := p.turns[args.Turn]
+		switch {
+		case t == nil || t.State != Ended:
+		case t.Account != args.Account:
+			reply.Outcome = ForeignParent
+		default:
+			if chain, whole := p.chainLocked(t); whole {
+				reply.Outcome, reply.Chain, reply.Replica = Located, chain, t.Replica
+			}
+		}
+		p.mu.Unlock()
+		if reply.Outcome != UnknownParent {
+			return reply
+		}
+	}
+	return reply
+}
+
+// Keep holds copies of another home's changes.
+func (h *Home) Keep(args CopyArgs) {
+	if args.Partition < 0 || args.Partition >= Partitions {
+		return
+	}
+	p := h.parts[args.Partition]
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range args.Turns {
+		if old := p.copies[t.ID]; old == nil || old.turn.State <= t.State {
+			p.copies[t.ID] = &keptCopy{turn: t, since: now}
+		}
+	}
+}
+
+// Warm loads the partitions for which wanted reports true.
+func (h *Home) Warm(ctx context.Context, wanted func(partition int) bool) {
+	for _, p := range h.parts {
+		if ctx.Err() == nil && wanted(p.id) {
+			h.ensureLoaded(ctx, p)
+		}
+	}
+}
+
+// Idle reports whether no change waits for the store.
+func (h *Home) Idle() bool {
+	for _, p := range h.parts {
+		p.mu.Lock()
+		waiting := len(p.unsaved) > 0
+		p.mu.Unlock()
+		if waiting {
+			return false
+		}
+	}
+	return true
+}
+
+// ensureLoaded loads the partition unless it is loaded, and takes up copies that were
+// kept for another home.
+func (h *Home) ensureLoaded(ctx context.Context, p *partition) bool {
+	p.mu.Lock()
+	loaded := p.loaded
+	copies := len(p.copies)
+	p.mu.Unlock()
+	if loaded && copies == 0 {
+		return true
+	}
+	if !loaded {
+		p.loading.Lock()
+		defer p.loading.Unlock()
+		if err := h.load(ctx, p); err != nil {
+			h.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error()})
+			return false
+		}
+	}
+	h.takeCopies(p)
+	return true
+}
+
+// takeCopies makes changes of this host of the copies that the store may lack.
+func (h *Home) takeCopies(p *partition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, kept := range p.copies {
+		delete(p.copies, id)
+		if old := p.turns[id]; old == nil || old.State < kept.turn.State {
+			h.enterLocked(p, &change{turn: kept.turn, done: make(chan struct{})})
+		}
+	}
+}
+
+// load reads the whole partition. The caller holds p.loading.
+func (h *Home) load(ctx context.Context, p *partition) error {
+	p.mu.Lock()
+	loaded := p.loaded
+	p.mu.Unlock()
+	if loaded {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	end, err := storelog.Load(ctx, h.log, p.where, func(r storelog.Record) { h.apply(p, r) })
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.loaded, p.end = true, end
+	count := len(p.turns)
+	p.mu.Unlock()
+	h.events.Log(event.TurnsLoaded, event.Fields{"partition": p.id, "turns": count, "end": end})
+	return nil
+}
+
+func (h *Home) apply(p *partition, r storelog.Record) {
+	if !p.applyRecord(r) {
+		h.events.Log(event.TurnRecordInvalid, event.Fields{"partition": p.id, "offset": r.Offset})
+	}
+}
+
+// sync reads what other homes have appended since the last read.
+func (h *Home) sync(ctx context.Context, p *partition) error {
+	p.loading.Lock()
+	defer p.loading.Unlock()
+	p.mu.Lock()
+	from := p.end
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	end, err := storelog.Follow(ctx, h.log, p.where, from, func(r storelog.Record) { h.apply(p, r) })
+	if errors.Is(err, storelog.ErrTrimmed) {
+		end, err = storelog.Load(ctx, h.log, p.where, func(r storelog.Record) { h.apply(p, r) })
+	}
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.end = max(p.end, end)
+	p.mu.Unlock()
+	return nil
+}
+
+// Sweep removes expired turns and saves copies whose home has gone, until ctx ends.
+// Owns reports whether this host is the first candidate for a partition.
+func (h *Home) Sweep(ctx context.Context, owns func(partition int) bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sweepInterval):
+		}
+		for _, p := range h.parts {
+			h.sweepPartition(ctx, p, owns)
+		}
+	}
+}
+
+func (h *Home) sweepPartition(ctx context.Context, p *partition, owns func(int) bool) {
+	now := time.Now()
+	p.mu.Lock()
+	old := false
+	for _, kept := range p.copies {
+		old = old || now.Sub(kept.since) > copyAge
+	}
+	var expired []string
+	if p.loaded {
+		expired = p.expiredLocked(now, expireBatch)
+	}
+	p.mu.Unlock()
+	if old && h.ensureSynced(ctx, p) {
+		h.takeCopies(p)
+	}
+	if len(expired) == 0 {
+		return
+	}
+	if !owns(p.id) {
+		p.mu.Lock()
+		for _, id := range expired {
+			p.removeLocked(id)
+		}
+		p.mu.Unlock()
+		return
+	}
+	records := make([]storelog.Record, len(expired))
+	for i, id := range expired {
+		records[i] = storelog.Record{Key: id}
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	// The turns go from memory when the records are read back; a failed append is
+	// repeated by the next sweep.
+	if _, err := h.log.Append(ctx, p.where, storelog.AnyEnd, records); err == nil {
+		if err := h.sync(ctx, p); err != nil {
+			h.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error()})
+		}
+	}
+}
+
+// ensureSynced loads the partition or reads its newest records.
+func (h *Home) ensureSynced(ctx context.Context, p *partition) bool {
+	p.mu.Lock()
+	loaded := p.loaded
+	p.mu.Unlock()
+	if !loaded {
+		return h.ensureLoaded(ctx, p)
+	}
+	return h.sync(ctx, p) == nil
+}
--- /dev/null
+++ b/internal/turns/partition.go
@@ -0,0 +1,154 @@
+package turns
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cowslipgw/internal/storelog"
+)
+
+// Partitions is the number of partitions of all programs. A home's failure moves one
+// of them, and one append at a time is under way in each.
+const Partitions = 64
+
+// expirySlack is added to a turn's retention: the clocks of hosts differ by seconds.
+const expirySlack = 15 * time.Second
+
+// partition is the state of one partition at this host. Lock order: loading, mu.
+type partition struct {
+	id    int
+	where storelog.Partition
+
+	// loading serializes reads of the store into this partition.
+	loading sync.Mutex
+
+	mu sync.Mutex
+	// loaded says that turns hold all records up to end.
+	loaded   bool
+	end      int64
+	turns    map[string]*Turn
+	programs map[programKey]*program
+	// unsaved changes are appended in their order.
+	unsaved []*change
+	writing bool
+	// troubled says that the last append failed or is overdue.
+	troubled bool
+	// copies are kept for other homes, by turn.
+	copies map[string]*keptCopy
+}
+
+// keptCopy is a change of another home that the store may not have.
+type keptCopy struct {
+	turn  Turn
+	since time.Time
+}
+
+func newPartition(id, partsPerTopic int) *partition {
+	p := &partition{id: id, where: partitionName(id, partsPerTopic), copies: make(map[string]*keptCopy)}
+	p.clearLocked()
+	return p
+}
+
+func (p *partition) clearLocked() {
+	p.loaded = false
+	p.turns = make(map[string]*Turn)
+	p.programs = make(map[programKey]*program)
+}
+
+// applyRecord merges a record of the store. It reports false for an invalid one.
+func (p *partition) applyRecord(r storelog.Record) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(r.Value) == 0 {
+		p.removeLocked(r.Key)
+		return true
+	}
+	var t Turn
+	if err := cbor.Unmarshal(r.Value, &t); err != nil || t.ID != r.Key {
+		return false
+	}
+	p.mergeLocked(&t)
+	return true
+}
+
+// mergeLocked enters a turn unless a later state of it is known. It reports whether
+// the turn was entered.
+func (p *partition) mergeLocked(t *Turn) bool {
+	old := p.turns[t.ID]
+	if old != nil && (old.State > t.State || (old.State == Ended && t.State == Ended)) {
+		return false
+	}
+	key := programKey{t.Account, t.Program}
+	g := p.programs[key]
+	if g == nil {
+		g = &program{turns: make(map[string]struct{})}
+		p.programs[key] = g
+	}
+	if old != nil {
+		g.tokens -= old.Tokens
+	}
+	p.turns[t.ID] = t
+	g.turns[t.ID] = struct{}{}
+	g.tokens += t.Tokens
+	g.expiry = max(g.expiry, t.Expiry)
+	return true
+}
+
+// removeLocked drops a turn.
+func (p *partition) removeLocked(id string) {
+	t := p.turns[id]
+	if t == nil {
+		return
+	}
+	delete(p.turns, id)
+	key := programKey{t.Account, t.Program}
+	g := p.programs[key]
+	delete(g.turns, id)
+	g.tokens -= t.Tokens
+	if len(g.turns) == 0 {
+		delete(p.programs, key)
+	}
+}
+
+// chainLocked returns what an engine is to read of a turn and all before it, or false
+// if a turn of the chain is missing.
+func (p *partition) chainLocked(t *Turn) ([]byte, bool) {
+	var line []*Turn
+	size := 0
+	for {
+		line = append(line, t)
+		size += len(t.Input) + len(t.Output)
+		if t.Parent == "" {
+			break
+		}
+		parent := p.turns[t.Parent]
+		if parent == nil || parent.State != Ended || len(line) > len(p.turns) {
+			return nil, false
+		}
+		t = parent
+	}
+	chain := make([]byte, 0, size)
+	for i := len(line) - 1; i >= 0; i-- {
+		chain = append(append(chain, line[i].Input...), line[i].Output...)
+	}
+	return chain, true
+}
+
+// expiredLocked returns the turns of programs that are kept no longer, limit at most.
+func (p *partition) expiredLocked(now time.Time, limit int) []string {
+	var ids []string
+	for _, g := range p.programs {
+		if time.UnixMilli(g.expiry).Add(expirySlack).After(now) {
+			continue
+		}
+		for id := range g.turns {
+			ids = append(ids, id)
+		}
+		if len(ids) >= limit {
+			break
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/turns/service.go
@@ -0,0 +1,46 @@
+package turns
+
+import (
+	"context"
+	"time"
+)
+
+// serveTimeout limits the work on a call of another host, which gives up sooner.
+const serveTimeout = 5 * time.Second
+
+// ServiceName is the name under which Service is registered with net/rpc.
+const ServiceName = "Turns"
+
+// Service answers the calls of other hosts.
+type Service struct{ home *Home }
+
+// NewService returns the service of home.
+func NewService(home *Home) *Service { return &Service{home: home} }
+
+// Begin calls Home.Begin.
+func (s *Service) Begin(args BeginArgs, reply *BeginReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	*reply = s.home.Begin(ctx, args)
+	return nil
+}
+
+// End calls Home.End.
+func (s *Service) End(args EndArgs, reply *EndReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	reply.Kept = s.home.End(ctx, args.Turn)
+	return nil
+}
+
+// Locate calls Home.Locate.
+func (s *Service) Locate(args LocateArgs, reply *LocateReply) error {
+	*reply = s.home.Locate(args)
+	return nil
+}
+
+// Copy calls Home.Keep.
+func (s *Service) Copy(args CopyArgs, _ *CopyReply) error {
+	s.home.Keep(args)
+	return nil
+}
--- /dev/null
+++ b/internal/turns/write.go
@@ -0,0 +1,106 @@
+package turns
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/storelog"
+)
+
+// write appends the unsaved changes of a partition until there are none. One write
+// runs for a partition at a time.
+func (h *Home) write(p *partition) {
+	ctx := context.Background()
+	for {
+		batch, records, expected := p.takeBatch()
+		if len(batch) == 0 {
+			return
+		}
+		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
+		end, err := h.log.Append(attempt, p.where, expected, records)
+		cancel()
+		switch {
+		case err == nil:
+			p.saved(batch, end)
+		case errors.Is(err, storelog.ErrConflict):
+			// Another home has written, or an append of this one took effect although its
+			// answer was lost. The records decide.
+			if err := h.sync(ctx, p); err != nil {
+				p.trouble()
+				time.Sleep(appendPause)
+				continue
+			}
+			p.revalidate()
+		default:
+			p.trouble()
+			h.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error(), "unsaved": len(batch)})
+			time.Sleep(appendPause)
+		}
+	}
+}
+
+// takeBatch returns the changes for the next append and the expected end. Without any
+// the write has ended.
+func (p *partition) takeBatch() ([]*change, []storelog.Record, int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var records []storelog.Record
+	size := 0
+	for _, c := range p.unsaved {
+		value, err := cbor.Marshal(c.turn)
+		if err != nil {
+			panic("turn cannot be encoded: " + err.Error())
+		}
+		if size += len(value); size > maxBatch && len(records) > 0 {
+			break
+		}
+		records = append(records, storelog.Record{Key: c.turn.ID, Value: value})
+	}
+	if len(records) == 0 {
+		p.writing = false
+		return nil, nil, 0
+	}
+	return p.unsaved[:len(records):len(records)], records, p.end
+}
+
+// saved ends the changes of a batch that the store has taken.
+func (p *partition) saved(batch []*change, end int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.end = max(p.end, end)
+	p.troubled = false
+	p.unsaved = p.unsaved[len(batch):]
+	for _, c := range batch {
+		close(c.done)
+	}
+}
+
+// trouble notes that the store does not take appends.
+func (p *partition) trouble() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.troubled = true
+}
+
+// revalidate checks the unsaved reservations against what other homes have written,
+// and withdraws those that the budget no longer holds.
+func (p *partition) revalidate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := make([]*change, 0, len(p.unsaved))
+	for _, c := range p.unsaved {
+		g := p.programs[programKey{c.turn.Account, c.turn.Program}]
+		if c.budget > 0 && g != nil && g.tokens > c.budget && p.turns[c.turn.ID] != nil && p.turns[c.turn.ID].State == Open {
+			p.removeLocked(c.turn.ID)
+			c.withdrawn = true
+			close(c.done)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.unsaved = kept
+}
