--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -64,6 +64,9 @@
 		if x.call.Program != "" {
 			fields["program"] = x.call.Program
 		}
+		if x.call.Previous != "" {
+			fields["previous"] = x.call.Previous
+		}
 	}
 	if x.route != nil {
 		fields["route"], fields["config"] = x.route.Name, x.table.Version
