Deny a turn only when its absence is certain

Cause: a home that could not read the store answered 404 for turns that another home had kept, and a search counted partitions as whole that had not been read lately. Ruled out: lost appends (each denied turn was in the store). Now a home that cannot read answers 'unavailable', a search reads the newest records first, and after a turn that only hosts kept, or a restart, nobody denies turns until their retention is over. A denial's confirmation also no longer waits behind the long poll of the configuration.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -45,6 +45,8 @@
 	sweepInterval = time.Second
 	// warmInterval is how often partitions that may move here are loaded.
 	warmInterval = time.Second
+	// warmDelay is the time in which a new host hears the heartbeats of the others.
+	warmDelay = 1500 * time.Millisecond
 	// resolveTTL is how long a client should keep a directory answer.
 	resolveTTL = 2 * time.Second
 )
@@ -79,13 +81,19 @@
 	store := platform.NewStore(s.Store)
 	p.registry = peers.NewRegistry(p.table, store, events)
 	limiter := quota.NewLimiter(s.RateWindow, p.table.Counts)
+	p.client = turns.NewClient(p.table, peers.NewCaller(p.table))
+	p.home = turns.NewHome(store, p.client, s.StoreParts, s.FirstStart, events)
+	p.client.SetHome(p.home)
 	var err error
-	if p.beacon, err = peers.NewBeacon(p.table, limiter.Admitted, limiter.Heard); err != nil {
+	p.beacon, err = peers.NewBeacon(p.table, func(b *peers.Heartbeat) {
+		b.Admitted, b.UncertainMS = limiter.Admitted(), p.home.Uncertain().Milliseconds()
+	}, func(b peers.Heartbeat) {
+		limiter.Heard(b.Host.ID, b.Host.Incarnation, b.Admitted)
+		p.home.Doubt(time.Duration(b.UncertainMS) * time.Millisecond)
+	})
+	if err != nil {
 		return nil, err
 	}
-	p.client = turns.NewClient(p.table, peers.NewCaller(p.table))
-	p.home = turns.NewHome(store, p.client, s.StoreParts, events)
-	p.client.SetHome(p.home)
 	replicas := replica.NewSet(s.Zone, events)
 	p.config = gateway.NewConfig(platform.NewConfigReader(store, s.Keyed, events), s.KeyFreshness, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas)
@@ -156,11 +164,20 @@
 	go p.discovery.Run(ctx)
 	go p.home.Sweep(ctx, p.client.Owns)
 	go every(ctx, sweepInterval, p.pool.Sweep)
-	go every(ctx, warmInterval, func() { p.home.Warm(ctx, p.client.Owns) })
+	go p.warm(ctx)
 	go every(ctx, p.table.Interval(), func() { p.table.SetServing(p.ready()) })
 	go p.reloads(ctx)
 }
 
+// warm loads the partitions that may move here, once the other hosts are known.
+func (p *gatewayProcess) warm(ctx context.Context) {
+	select {
+	case <-time.After(warmDelay):
+	case <-ctx.Done():
+	}
+	every(ctx, warmInterval, func() { p.home.Warm(ctx, p.client.Owns) })
+}
+
 // every calls f at an interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, f func()) {
 	ticker := time.NewTicker(interval)
@@ -193,7 +210,7 @@
 // serveCalls answers the calls of other hosts.
 func (p *gatewayProcess) serveCalls() error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(turns.ServiceName, turns.NewService(p.home)); err != nil {
+	if err := server.RegisterName(turns.ServiceName, turns.NewService(p.home, p.client.Owns)); err != nil {
 		return oops.Wrapf(err, "register service")
 	}
 	listener, err := net.Listen("tcp", p.table.Self().Addr)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -43,6 +43,8 @@
 	confirmed atomic.Int64
 	reading   sync.Mutex
 	lost      atomic.Bool
+	// urgent ends the wait of the read under way.
+	urgent atomic.Pointer[context.CancelFunc]
 }
 
 // NewConfig returns a follower of source. Freshness is how long keys may be used
@@ -99,8 +101,17 @@
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	start := boottime.Now()
-	table, err := c.source.Config(ctx, wait)
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if wait > 0 {
+		c.urgent.Store(&cancel)
+	}
+	table, err := c.source.Config(waiting, wait)
+	c.urgent.Store(nil)
 	if err != nil {
+		if waiting.Err() != nil && ctx.Err() == nil {
+			return true // ended for a confirmation, which reads again
+		}
 		if ctx.Err() == nil && !c.lost.Swap(true) {
 			c.events.Log(event.StoreLost, event.Fields{"error": err.Error(), "age_ms": c.age().Milliseconds()})
 		}
@@ -127,6 +138,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmWait)
 	defer cancel()
+	if cancel := c.urgent.Load(); cancel != nil {
+		(*cancel)()
+	}
 	done := make(chan bool, 1)
 	go func() {
 		c.reading.Lock()
--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -16,14 +16,13 @@
 type Beacon struct {
 	table *Table
 	conn  *net.UDPConn
-	// admitted returns the counters that a heartbeat carries; received gets those of others.
-	admitted func() map[uint32]uint32
-	received func(host string, incarnation int64, admitted map[uint32]uint32)
+	// fill completes a heartbeat of this host; received gets those of others.
+	fill     func(*Heartbeat)
+	received func(Heartbeat)
 }
 
 // NewBeacon listens at the table's own address.
-func NewBeacon(table *Table, admitted func() map[uint32]uint32,
-	received func(host string, incarnation int64, admitted map[uint32]uint32)) (*Beacon, error) {
+func NewBeacon(table *Table, fill func(*Heartbeat), received func(Heartbeat)) (*Beacon, error) {
 	addr, err := net.ResolveUDPAddr("udp4", table.self.Addr)
 	if err != nil {
 		return nil, oops.Wrapf(err, "resolve own address")
@@ -32,7 +31,7 @@
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen for heartbeats")
 	}
-	return &Beacon{table: table, conn: conn, admitted: admitted, received: received}, nil
+	return &Beacon{table: table, conn: conn, fill: fill, received: received}, nil
 }
 
 // Close ends Receive.
@@ -54,7 +53,8 @@
 // Send sends one heartbeat to every other host.
 func (b *Beacon) Send() {
 	leaving, serving := b.table.status()
-	beat := Heartbeat{Host: b.table.self, Leaving: leaving, Serving: serving, Admitted: b.admitted()}
+	beat := Heartbeat{Host: b.table.self, Leaving: leaving, Serving: serving}
+	b.fill(&beat)
 	data, err := cbor.Marshal(beat)
 	if err != nil {
 		panic("heartbeat cannot be encoded: " + err.Error())
@@ -83,7 +83,7 @@
 			continue // not a heartbeat of ours
 		}
 		if b.table.Heard(beat) {
-			b.received(beat.Host.ID, beat.Host.Incarnation, beat.Admitted)
+			b.received(beat)
 		}
 	}
 }
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -140,7 +140,7 @@
 		go func() {
 			reply := LocateReply{Outcome: Unavailable}
 			if h.ID == c.hosts.Self().ID {
-				reply = c.home.Locate(args)
+				reply = c.home.Locate(ctx, args, c.Owns)
 			} else if c.caller.Call(ctx, h, ServiceName+".Locate", args, &reply) != nil {
 				reply = LocateReply{Outcome: Unavailable}
 			}
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
+	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/storelog"
 )
@@ -29,6 +31,10 @@
 	expireBatch = 200
 )
 
+// uncertainTime is how long a turn that only hosts kept may be asked for: the usual
+// retention of turns and expirySlack.
+const uncertainTime = time.Minute + expirySlack
+
 // Copier keeps changes at other hosts. It reports whether enough hosts have them to
 // survive the loss of this one.
 type Copier interface {
@@ -41,11 +47,19 @@
 	copier Copier
 	events *event.Logger
 	parts  [Partitions]*partition
+	// doubtUntil is a boottime.Instant; see Doubt.
+	doubtUntil atomic.Int64
+	// trustFrom is when this host's own knowledge reaches back far enough.
+	trustFrom boottime.Instant
 }
 
-// NewHome returns a home whose topics have partsPerTopic partitions each.
-func NewHome(log storelog.Log, copier Copier, partsPerTopic int, events *event.Logger) *Home {
+// NewHome returns a home whose topics have partsPerTopic partitions each. First says
+// that the whole system starts for the first time, so that no turns were kept before.
+func NewHome(log storelog.Log, copier Copier, partsPerTopic int, first bool, events *event.Logger) *Home {
 	h := &Home{log: log, copier: copier, events: events}
+	if !first {
+		h.trustFrom = boottime.Now().Add(uncertainTime)
+	}
 	for id := range h.parts {
 		h.parts[id] = newPartition(id, partsPerTopic)
 	}
@@ -61,9 +75,10 @@
 	reply, c := h.decide(p, args)
 	if reply.Outcome == UnknownParent || reply.Outcome == Exhausted {
 		// Another home may have written since this one last read.
-		if h.sync(ctx, p) == nil {
-			reply, c = h.decide(p, args)
+		if h.sync(ctx, p) != nil {
+			return BeginReply{Outcome: Unavailable}
 		}
+		reply, c = h.decide(p, args)
 	}
 	if c == nil {
 		return reply
@@ -170,6 +185,7 @@
 			return false
 		case enough := <-copied:
 			if enough {
+				h.Doubt(uncertainTime)
 				h.events.Log(event.TurnUnsaved, event.Fields{"turn": c.turn.ID, "partition": p.id})
 				return true
 			}
@@ -178,32 +194,48 @@
 	}
 }
 
-// Locate looks for a turn of an account in all partitions that are loaded here.
-func (h *Home) Locate(args LocateArgs) LocateReply {
+// Locate looks for a turn of an account in all partitions that are loaded here. It
+// reads the newest records of those that owns reports first, and is certain of them.
+func (h *Home) Locate(ctx context.Context, args LocateArgs, owns func(partition int) bool) LocateReply {
+	for _, p := range h.parts {
+		if reply := p.locate(args); reply.Outcome != UnknownParent {
+			return reply
+		}
+	}
 	reply := LocateReply{Outcome: UnknownParent}
+	if h.Uncertain() > 0 || boottime.Now() < h.trustFrom {
+		return reply
+	}
 	for _, p := range h.parts {
-		p.mu.Lock()
-		if p.loaded {
-			reply.Certain |= 1 << p.id
+		if !owns(p.id) || !h.ensureSynced(ctx, p) {
+			continue
 		}
-		t := p.turns[args.Turn]
-		switch {
-		case t == nil || t.State != Ended:
-		case t.Account != args.Account:
-			reply.Outcome = ForeignParent
-		default:
-			if chain, whole := p.chainLocked(t); whole {
-				reply.Outcome, reply.Chain, reply.Replica = Located, chain, t.Replica
-			}
-		}
-		p.mu.Unlock()
-		if reply.Outcome != UnknownParent {
-			return reply
+		if found := p.locate(args); found.Outcome != UnknownParent {
+			return found
 		}
+		reply.Certain |= 1 << p.id
 	}
 	return reply
 }
 
+// Doubt notes that turns may be kept by hosts alone, which can be lost. For that time
+// no host can be certain that a turn never existed.
+func (h *Home) Doubt(remaining time.Duration) {
+	until := int64(boottime.Now().Add(remaining))
+	for {
+		old := h.doubtUntil.Load()
+		if old >= until || h.doubtUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
+
+// Uncertain returns how much longer turns that were kept by hosts alone may be asked
+// for; 0 if there are none.
+func (h *Home) Uncertain() time.Duration {
+	return max(boottime.Instant(h.doubtUntil.Load()).Sub(boottime.Now()), 0)
+}
+
 // Keep holds copies of another home's changes.
 func (h *Home) Keep(args CopyArgs) {
 	if args.Partition < 0 || args.Partition >= Partitions {
--- /dev/null
+++ b/internal/turns/home_test.go
@@ -0,0 +1,166 @@
+package turns_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/storelog"
+	"cowslipgw/internal/turns"
+)
+
+// copier is a turns.Copier that keeps changes at another home.
+type copier struct{ to *turns.Home }
+
+func (c copier) Copy(_ context.Context, args turns.CopyArgs) bool {
+	if c.to == nil {
+		return false
+	}
+	c.to.Keep(args)
+	return true
+}
+
+// newHome returns a home over log whose copies go to other, which may be nil.
+func newHome(log storelog.Log, other *turns.Home) *turns.Home {
+	return turns.NewHome(log, copier{other}, 8, true, event.Discard())
+}
+
+// down is a fault that makes every call of the store fail.
+func down(string, storelog.Partition) (error, bool) { return storelog.ErrUnavailable, false }
+
+// deadline bounds a call of a home in tests.
+func deadline(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// begin begins a turn of program p of account a.
+func begin(t *testing.T, h *turns.Home, id, parent string, budget int) turns.BeginReply {
+	t.Helper()
+	return h.Begin(deadline(t, time.Second), turns.BeginArgs{Account: "a", Program: "p", Turn: id, Parent: parent,
+		Budget: budget, MaxTokens: 100, RetentionMS: 60_000})
+}
+
+// ended is a turn of program p of account a that was answered whole.
+func ended(id, parent string, tokens int) turns.Turn {
+	return turns.Turn{ID: id, Parent: parent, Account: "a", Program: "p", State: turns.Ended, Tokens: tokens,
+		Input: []byte("in-" + id + ";"), Output: []byte("out-" + id + "\n"), Expiry: time.Now().Add(time.Minute).UnixMilli()}
+}
+
+// TestChainOfTurns guards against inputs and outputs that reach an engine in the wrong
+// order or twice.
+func TestChainOfTurns(t *testing.T) {
+	is := is.New(t)
+	h := newHome(storelog.NewMemory(), nil)
+	is.Equal(begin(t, h, "t1", "", 0).Outcome, turns.Granted)
+	is.True(h.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.Equal(begin(t, h, "t2", "t1", 0).Outcome, turns.Granted)
+	is.True(h.End(deadline(t, time.Second), ended("t2", "t1", 10)))
+	reply := begin(t, h, "t3", "t2", 0)
+	is.Equal(reply.Outcome, turns.Granted)
+	is.Equal(string(reply.Chain), "in-t1;out-t1\nin-t2;out-t2\n")
+}
+
+// TestAnotherHomeContinues guards against history that is lost when any host that
+// answered for a program is gone.
+func TestAnotherHomeContinues(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	first, second := newHome(log, nil), newHome(log, nil)
+	is.Equal(begin(t, second, "t0", "", 0).Outcome, turns.Granted) // second is loaded, and stale later
+	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.Equal(string(begin(t, second, "t2", "t1", 0).Chain), "in-t1;out-t1\n")
+}
+
+// TestStaleHomeDoesNotDeny guards against a 404 for a turn that another home has kept
+// while this one cannot read the store.
+func TestStaleHomeDoesNotDeny(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	first, second := newHome(log, nil), newHome(log, nil)
+	is.Equal(begin(t, second, "t0", "", 0).Outcome, turns.Granted)
+	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	log.SetFault(down)
+	is.Equal(begin(t, second, "t2", "t1", 0).Outcome, turns.Unavailable)
+	located := second.Locate(deadline(t, time.Second), turns.LocateArgs{Account: "a", Turn: "t1"}, func(int) bool { return true })
+	is.Equal(located.Certain, uint64(0))
+}
+
+// TestUnsavedTurnsAreNotDenied guards against a 404 for a turn that only lost hosts
+// kept: after such turns nobody can be certain until their retention is over.
+func TestUnsavedTurnsAreNotDenied(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	backup := newHome(log, nil)
+	first := newHome(log, backup)
+	is.Equal(begin(t, first, "t0", "", 0).Outcome, turns.Granted)
+	is.Equal(first.Uncertain(), time.Duration(0))
+	log.SetFault(down)
+	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(first.Uncertain() > time.Minute)
+}
+
+// TestRestartedHomeDoesNotDeny guards against a 404 for a turn that hosts alone kept
+// before all of them were restarted.
+func TestRestartedHomeDoesNotDeny(t *testing.T) {
+	is := is.New(t)
+	h := turns.NewHome(storelog.NewMemory(), copier{}, 8, false, event.Discard())
+	is.Equal(begin(t, h, "t0", "", 0).Outcome, turns.Granted)
+	located := h.Locate(deadline(t, time.Second), turns.LocateArgs{Account: "a", Turn: "t1"}, func(int) bool { return true })
+	is.Equal(located.Certain, uint64(0))
+}
+
+// TestCopiesSurviveTheirHome guards against turns that are lost with their home while
+// the store is down.
+func TestCopiesSurviveTheirHome(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	backup := newHome(log, nil)
+	first := newHome(log, backup)
+	is.Equal(begin(t, first, "t0", "", 0).Outcome, turns.Granted)
+	log.SetFault(down)
+	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	log.SetFault(nil)
+	// first is gone; it never appended the turn as far as backup knows.
+	reply := begin(t, backup, "t2", "t1", 0)
+	is.Equal(reply.Outcome, turns.Granted)
+	is.Equal(string(reply.Chain), "in-t1;out-t1\n")
+}
+
+// TestBudgetOverTwoHomes guards against two hosts that both act as home and grant the
+// same tokens.
+func TestBudgetOverTwoHomes(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	first, second := newHome(log, nil), newHome(log, nil)
+	is.Equal(begin(t, first, "t1", "", 250).Outcome, turns.Granted)
+	is.Equal(begin(t, second, "t2", "", 250).Outcome, turns.Granted)
+	is.Equal(begin(t, first, "t3", "", 250).Outcome, turns.Exhausted)
+	is.True(second.End(deadline(t, time.Second), ended("t2", "", 50)))
+	is.Equal(begin(t, first, "t4", "", 250).Outcome, turns.Granted)
+}
+
+// TestLostAnswerOfAppend guards against a turn that is refused or counted twice when
+// the store's answer is lost after the append took effect.
+func TestLostAnswerOfAppend(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	h := newHome(log, nil)
+	is.Equal(begin(t, h, "t0", "", 300).Outcome, turns.Granted)
+	lost := false
+	log.SetFault(func(call string, _ storelog.Partition) (error, bool) {
+		if call == "append" && !lost {
+			lost = true
+			return storelog.ErrUnknown, true
+		}
+		return nil, false
+	})
+	is.Equal(begin(t, h, "t1", "", 300).Outcome, turns.Granted)
+	is.Equal(begin(t, h, "t2", "", 300).Outcome, turns.Granted)
+	is.Equal(begin(t, h, "t3", "", 300).Outcome, turns.Exhausted)
+}
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -136,6 +136,27 @@
 	return chain, true
 }
 
+// locate looks for a whole turn of an account, also among the copies.
+func (p *partition) locate(args LocateArgs) LocateReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.turns[args.Turn]
+	if kept := p.copies[args.Turn]; kept != nil && (t == nil || t.State != Ended) {
+		t = &kept.turn
+	}
+	if t == nil || t.State != Ended {
+		return LocateReply{Outcome: UnknownParent}
+	}
+	if t.Account != args.Account {
+		return LocateReply{Outcome: ForeignParent}
+	}
+	chain, whole := p.chainLocked(t)
+	if !whole {
+		return LocateReply{Outcome: Unavailable}
+	}
+	return LocateReply{Outcome: Located, Chain: chain, Replica: t.Replica}
+}
+
 // expiredLocked returns the turns of programs that are kept no longer, limit at most.
 func (p *partition) expiredLocked(now time.Time, limit int) []string {
 	var ids []string
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -12,10 +12,16 @@
 const ServiceName = "Turns"
 
 // Service answers the calls of other hosts.
-type Service struct{ home *Home }
+type Service struct {
+	home *Home
+	owns func(partition int) bool
+}
 
-// NewService returns the service of home.
-func NewService(home *Home) *Service { return &Service{home: home} }
+// NewService returns the service of home. Owns reports whether this host is the first
+// candidate for a partition.
+func NewService(home *Home, owns func(partition int) bool) *Service {
+	return &Service{home: home, owns: owns}
+}
 
 // Begin calls Home.Begin.
 func (s *Service) Begin(args BeginArgs, reply *BeginReply) error {
@@ -35,7 +41,9 @@
 
 // Locate calls Home.Locate.
 func (s *Service) Locate(args LocateArgs, reply *LocateReply) error {
-	*reply = s.home.Locate(args)
+	ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
+	defer cancel()
+	*reply = s.home.Locate(ctx, args, s.owns)
 	return nil
 }
 
