End a turn's answer only when the store has the turn

Ruled out: slow recovery (partitions load in 0.2 s). Now the end of a stream waits for the store; a reservation may still be kept by two other hosts. The doubt after unsaved turns is gone with its reason. Hosts tell each other whether they reach the store, and homes move to those that do. A reservation that was overtaken by the turn's end is no longer appended after it, which would have hidden the turn from a new home.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -23,6 +23,7 @@
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
+	"cowslipgw/internal/storelog"
 	"cowslipgw/internal/turns"
 	"cowslipgw/platform"
 )
@@ -74,22 +75,22 @@
 func newGatewayProcess(s platform.Settings, path string, events *event.Logger) (*gatewayProcess, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	p := &gatewayProcess{settings: s, path: path, events: events}
+	monitor := storelog.NewMonitor()
 	p.table = peers.NewTable(peers.Host{
 		ID: s.Node, Incarnation: time.Now().UnixMicro(), Zone: s.Zone, Entry: s.Frontend,
 		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
-	})
-	store := platform.NewStore(s.Store)
+	}, monitor.Healthy)
+	store := platform.NewStore(s.Store, monitor)
 	p.registry = peers.NewRegistry(p.table, store, events)
 	limiter := quota.NewLimiter(s.RateWindow, p.table.Counts)
 	p.client = turns.NewClient(p.table, peers.NewCaller(p.table))
-	p.home = turns.NewHome(store, p.client, s.StoreParts, s.FirstStart, events)
+	p.home = turns.NewHome(store, p.client, s.StoreParts, events)
 	p.client.SetHome(p.home)
 	var err error
 	p.beacon, err = peers.NewBeacon(p.table, func(b *peers.Heartbeat) {
-		b.Admitted, b.UncertainMS = limiter.Admitted(), p.home.Uncertain().Milliseconds()
+		b.Admitted = limiter.Admitted()
 	}, func(b peers.Heartbeat) {
 		limiter.Heard(b.Host.ID, b.Host.Incarnation, b.Admitted)
-		p.home.Doubt(time.Duration(b.UncertainMS) * time.Millisecond)
 	})
 	if err != nil {
 		return nil, err
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -39,7 +39,7 @@
 			return
 		}
 		if x.route.Kind == route.Streaming && a.answer.Status == http.StatusOK {
-			x.stream(a, nil)
+			x.stream(ctx, a, nil)
 			return
 		}
 		content, err := x.readWhole(a)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 
@@ -17,10 +18,10 @@
 	events int
 }
 
-// stream passes events on as they arrive. Before the end of the stream is passed on,
-// it calls whole. A stream that breaks off ends the caller's connection after broken
-// was called; either function may be nil.
-func (x *exchange) stream(a *attempt, t *turn) {
+// stream passes events on as they arrive. Only the end of the stream waits until the
+// turn is kept; t is nil if none is. A stream that breaks off ends the caller's
+// connection.
+func (x *exchange) stream(ctx context.Context, a *attempt, t *turn) {
 	x.copyHead(a.answer)
 	x.w.Header().Del("Content-Length")
 	x.status = a.answer.Status
@@ -49,7 +50,9 @@
 			x.abort("stream of the replica broke off")
 		}
 		a.end(replica.Answered, s.count)
-		t.whole(streamed{output: s.data, events: s.count})
+		if !t.whole(ctx, streamed{output: s.data, events: s.count}) {
+			x.abort("turn could not be kept in time")
+		}
 		return
 	}
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// keepTime is how long the end of an answer waits for its turn to be kept.
-	keepTime = 700 * time.Millisecond
 	// settleTime is how long a settlement is repeated after the answer.
 	settleTime = 60 * time.Second
 	// settlePause is the pause between two tries of a settlement.
@@ -64,7 +62,7 @@
 	}
 	t.record.Replica = x.replica
 	if a.answer.Status == http.StatusOK && x.g.codec.Answer(a.answer.Header).Signed {
-		x.stream(a, t)
+		x.stream(ctx, a, t)
 		return
 	}
 	content, err := x.readWhole(a)
@@ -92,19 +90,21 @@
 	}
 }
 
-// whole keeps a turn that was answered whole. It returns when the turn is kept, or
-// after keepTime; a settlement that is still open goes on.
-func (t *turn) whole(s streamed) {
+// whole keeps a turn that was answered whole. It reports whether the turn is kept
+// before ctx ends: an answer must not look whole while the turn could still be lost.
+func (t *turn) whole(ctx context.Context, s streamed) bool {
 	if t == nil {
-		return
+		return true
 	}
 	t.record.State = turns.Ended
 	t.record.Output = s.output
 	t.record.Tokens = s.events * t.perEvent
 	select {
 	case <-t.settle():
-	case <-time.After(keepTime):
+		return true
+	case <-ctx.Done():
 		t.x.g.events.Log(event.TurnEndLate, event.Fields{"request": t.record.ID})
+		return false
 	}
 }
 
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -7,8 +7,9 @@
 	Leaving bool `cbor:"2,keyasint"`
 	// Serving says that callers may be sent to the host.
 	Serving bool `cbor:"3,keyasint"`
-	// UncertainMS is how much longer turns that only hosts kept may be asked for.
-	UncertainMS int64 `cbor:"5,keyasint,omitempty"`
+	// StoreLost says that the host does not reach the store, so that others should
+	// decide for its partitions.
+	StoreLost bool `cbor:"5,keyasint,omitempty"`
 	// Admitted counts the requests admitted since the start of the incarnation, by the
 	// hash of the client account's name.
 	Admitted map[uint32]uint32 `cbor:"4,keyasint,omitempty"`
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -11,6 +11,8 @@
 	heard   boottime.Instant
 	leaving bool
 	serving bool
+	// storeLost says that the host does not reach the store.
+	storeLost bool
 	// suspect is set by a failed call and cleared by the next heartbeat.
 	suspect bool
 }
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -25,6 +25,8 @@
 // Table holds the known hosts. Its methods are safe for concurrent use.
 type Table struct {
 	self Host
+	// storeHealthy reports whether this host reaches the store.
+	storeHealthy func() bool
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -32,9 +34,10 @@
 	serving bool
 }
 
-// NewTable returns a table that knows only this host.
-func NewTable(self Host) *Table {
-	return &Table{self: self, members: make(map[string]*member)}
+// NewTable returns a table that knows only this host. StoreHealthy reports whether
+// this host reaches the store.
+func NewTable(self Host, storeHealthy func() bool) *Table {
+	return &Table{self: self, storeHealthy: storeHealthy, members: make(map[string]*member)}
 }
 
 // Self returns this host.
@@ -122,7 +125,7 @@
 		t.members[b.Host.ID] = m
 	}
 	m.heard = boottime.Now()
-	m.leaving, m.serving, m.suspect = b.Leaving, b.Serving, false
+	m.leaving, m.serving, m.storeLost, m.suspect = b.Leaving, b.Serving, b.StoreLost, false
 	return true
 }
 
@@ -188,23 +191,28 @@
 const (
 	rankAlive = iota
 	rankLeaving
+	rankStoreLost
 	rankSilent
 )
 
 // Candidates returns up to limit hosts that may be the home of key, the best first.
-// The order is a rendezvous hash among the live hosts, then the leaving and the
-// silent ones, so that most hosts agree on the first.
+// The order is a rendezvous hash among the live hosts, then among the leaving ones and
+// those that do not reach the store, so that most hosts agree on the first.
 func (t *Table) Candidates(key uint64, limit int) []Host {
 	type candidate struct {
 		host   Host
 		rank   int
 		weight uint64
 	}
+	storeLost := !t.storeHealthy()
 	t.mu.Lock()
 	now, timeout := boottime.Now(), t.timeoutLocked()
 	list := make([]candidate, 0, len(t.members)+1)
 	self := candidate{host: t.self, weight: weight(key, t.self.ID)}
-	if t.leaving {
+	switch {
+	case storeLost:
+		self.rank = rankStoreLost
+	case t.leaving:
 		self.rank = rankLeaving
 	}
 	list = append(list, self)
@@ -213,6 +221,8 @@
 		switch {
 		case !m.alive(now, timeout):
 			c.rank = rankSilent
+		case m.storeLost:
+			c.rank = rankStoreLost
 		case m.leaving:
 			c.rank = rankLeaving
 		}
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
-	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/storelog"
 )
@@ -31,10 +29,6 @@
 	expireBatch = 200
 )
 
-// uncertainTime is how long a turn that only hosts kept may be asked for: the usual
-// retention of turns and expirySlack.
-const uncertainTime = time.Minute + expirySlack
-
 // Copier keeps changes at other hosts. It reports whether enough hosts have them to
 // survive the loss of this one.
 type Copier interface {
@@ -47,19 +41,11 @@
 	copier Copier
 	events *event.Logger
 	parts  [Partitions]*partition
-	// doubtUntil is a boottime.Instant; see Doubt.
-	doubtUntil atomic.Int64
-	// trustFrom is when this host's own knowledge reaches back far enough.
-	trustFrom boottime.Instant
 }
 
-// NewHome returns a home whose topics have partsPerTopic partitions each. First says
-// that the whole system starts for the first time, so that no turns were kept before.
-func NewHome(log storelog.Log, copier Copier, partsPerTopic int, first bool, events *event.Logger) *Home {
+// NewHome returns a home whose topics have partsPerTopic partitions each.
+func NewHome(log storelog.Log, copier Copier, partsPerTopic int, events *event.Logger) *Home {
 	h := &Home{log: log, copier: copier, events: events}
-	if !first {
-		h.trustFrom = boottime.Now().Add(uncertainTime)
-	}
 	for id := range h.parts {
 		h.parts[id] = newPartition(id, partsPerTopic)
 	}
@@ -83,7 +69,7 @@
 	if c == nil {
 		return reply
 	}
-	if !h.waitKept(ctx, p, c) {
+	if !h.waitReserved(ctx, p, c) {
 		return BeginReply{Outcome: Unavailable}
 	}
 	p.mu.Lock()
@@ -132,7 +118,8 @@
 	return reply, c
 }
 
-// End settles a turn. It reports whether the turn is kept.
+// End settles a turn. It reports whether the store has it: any number of hosts may be
+// lost at once, so copies at hosts do not count.
 func (h *Home) End(ctx context.Context, t Turn) bool {
 	p := h.parts[PartitionOf(t.Account, t.Program)]
 	if !h.ensureLoaded(ctx, p) {
@@ -142,7 +129,12 @@
 	p.mu.Lock()
 	h.enterLocked(p, c)
 	p.mu.Unlock()
-	return h.waitKept(ctx, p, c)
+	select {
+	case <-c.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // enterLocked applies a change and queues it for the store.
@@ -156,8 +148,8 @@
 	}
 }
 
-// waitKept waits until the store or enough other hosts have the change.
-func (h *Home) waitKept(ctx context.Context, p *partition, c *change) bool {
+// waitReserved waits until the store or enough other hosts have a reservation.
+func (h *Home) waitReserved(ctx context.Context, p *partition, c *change) bool {
 	p.mu.Lock()
 	troubled := p.troubled
 	p.mu.Unlock()
@@ -185,7 +177,6 @@
 			return false
 		case enough := <-copied:
 			if enough {
-				h.Doubt(uncertainTime)
 				h.events.Log(event.TurnUnsaved, event.Fields{"turn": c.turn.ID, "partition": p.id})
 				return true
 			}
@@ -203,9 +194,6 @@
 		}
 	}
 	reply := LocateReply{Outcome: UnknownParent}
-	if h.Uncertain() > 0 || boottime.Now() < h.trustFrom {
-		return reply
-	}
 	for _, p := range h.parts {
 		if !owns(p.id) || !h.ensureSynced(ctx, p) {
 			continue
@@ -218,24 +206,6 @@
 	return reply
 }
 
-// Doubt notes that turns may be kept by hosts alone, which can be lost. For that time
-// no host can be certain that a turn never existed.
-func (h *Home) Doubt(remaining time.Duration) {
-	until := int64(boottime.Now().Add(remaining))
-	for {
-		old := h.doubtUntil.Load()
-		if old >= until || h.doubtUntil.CompareAndSwap(old, until) {
-			return
-		}
-	}
-}
-
-// Uncertain returns how much longer turns that were kept by hosts alone may be asked
-// for; 0 if there are none.
-func (h *Home) Uncertain() time.Duration {
-	return max(boottime.Instant(h.doubtUntil.Load()).Sub(boottime.Now()), 0)
-}
-
 // Keep holds copies of another home's changes.
 func (h *Home) Keep(args CopyArgs) {
 	if args.Partition < 0 || args.Partition >= Partitions {
--- a/internal/turns/home_test.go
+++ b/internal/turns/home_test.go
@@ -25,7 +25,7 @@
 
 // newHome returns a home over log whose copies go to other, which may be nil.
 func newHome(log storelog.Log, other *turns.Home) *turns.Home {
-	return turns.NewHome(log, copier{other}, 8, true, event.Discard())
+	return turns.NewHome(log, copier{other}, 8, event.Discard())
 }
 
 // down is a fault that makes every call of the store fail.
@@ -91,45 +91,34 @@
 	is.Equal(located.Certain, uint64(0))
 }
 
-// TestUnsavedTurnsAreNotDenied guards against a 404 for a turn that only lost hosts
-// kept: after such turns nobody can be certain until their retention is over.
-func TestUnsavedTurnsAreNotDenied(t *testing.T) {
+// TestTurnsAreKeptByTheStoreAlone guards against answers that look whole although their
+// turn is lost with all hosts.
+func TestTurnsAreKeptByTheStoreAlone(t *testing.T) {
 	is := is.New(t)
 	log := storelog.NewMemory()
 	backup := newHome(log, nil)
 	first := newHome(log, backup)
 	is.Equal(begin(t, first, "t0", "", 0).Outcome, turns.Granted)
-	is.Equal(first.Uncertain(), time.Duration(0))
 	log.SetFault(down)
+	is.True(!first.End(deadline(t, 300*time.Millisecond), ended("t1", "", 10)))
+	log.SetFault(nil)
 	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
-	is.True(first.Uncertain() > time.Minute)
+	is.Equal(begin(t, backup, "t2", "t1", 0).Outcome, turns.Granted)
 }
 
-// TestRestartedHomeDoesNotDeny guards against a 404 for a turn that hosts alone kept
-// before all of them were restarted.
-func TestRestartedHomeDoesNotDeny(t *testing.T) {
-	is := is.New(t)
-	h := turns.NewHome(storelog.NewMemory(), copier{}, 8, false, event.Discard())
-	is.Equal(begin(t, h, "t0", "", 0).Outcome, turns.Granted)
-	located := h.Locate(deadline(t, time.Second), turns.LocateArgs{Account: "a", Turn: "t1"}, func(int) bool { return true })
-	is.Equal(located.Certain, uint64(0))
-}
-
-// TestCopiesSurviveTheirHome guards against turns that are lost with their home while
-// the store is down.
-func TestCopiesSurviveTheirHome(t *testing.T) {
+// TestReservationsSurviveTheirHome guards against a budget that is granted again when
+// its home is lost while the store is down.
+func TestReservationsSurviveTheirHome(t *testing.T) {
 	is := is.New(t)
 	log := storelog.NewMemory()
 	backup := newHome(log, nil)
 	first := newHome(log, backup)
-	is.Equal(begin(t, first, "t0", "", 0).Outcome, turns.Granted)
+	is.Equal(begin(t, first, "t0", "", 250).Outcome, turns.Granted)
 	log.SetFault(down)
-	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.Equal(begin(t, first, "t1", "", 250).Outcome, turns.Granted)
 	log.SetFault(nil)
-	// first is gone; it never appended the turn as far as backup knows.
-	reply := begin(t, backup, "t2", "t1", 0)
-	is.Equal(reply.Outcome, turns.Granted)
-	is.Equal(string(reply.Chain), "in-t1;out-t1\n")
+	// first is gone; it never appended the reservation as far as backup knows.
+	is.Equal(begin(t, backup, "t2", "", 250).Outcome, turns.Exhausted)
 }
 
 // TestBudgetOverTwoHomes guards against two hosts that both act as home and grant the
@@ -164,3 +153,19 @@
 	is.Equal(begin(t, h, "t2", "", 300).Outcome, turns.Granted)
 	is.Equal(begin(t, h, "t3", "", 300).Outcome, turns.Exhausted)
 }
+
+// TestLateReservationDoesNotHideTurn guards against the reservation of a turn that is
+// appended after the turn's end and then is all that a new home reads of it.
+func TestLateReservationDoesNotHideTurn(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	slow := newHome(log, nil)
+	is.Equal(begin(t, slow, "t0", "", 0).Outcome, turns.Granted)
+	slow.Keep(turns.CopyArgs{Partition: turns.PartitionOf("a", "p"), Turns: []turns.Turn{
+		{ID: "t1", Account: "a", Program: "p", State: turns.Open, Tokens: 100}}})
+	fast := newHome(log, nil)
+	is.True(fast.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.Equal(begin(t, slow, "t2", "", 0).Outcome, turns.Granted) // takes up the copy
+	fresh := newHome(log, nil)
+	is.Equal(begin(t, fresh, "t3", "t1", 0).Outcome, turns.Granted)
+}
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -48,6 +48,7 @@
 func (p *partition) takeBatch() ([]*change, []storelog.Record, int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dropOvertakenLocked()
 	var records []storelog.Record
 	size := 0
 	for _, c := range p.unsaved {
@@ -67,6 +68,21 @@
 	return p.unsaved[:len(records):len(records)], records, p.end
 }
 
+// dropOvertakenLocked ends the changes whose turn has a later state by now. The newest
+// record of a turn must be the one with the highest state, since only that one is read
+// when the partition is loaded.
+func (p *partition) dropOvertakenLocked() {
+	kept := make([]*change, 0, len(p.unsaved))
+	for _, c := range p.unsaved {
+		if t := p.turns[c.turn.ID]; t != nil && t.State > c.turn.State {
+			close(c.done)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.unsaved = kept
+}
+
 // saved ends the changes of a batch that the store has taken.
 func (p *partition) saved(batch []*change, end int64) {
 	p.mu.Lock()
