Decide each account's bucket at one owner, and let whole programs in

Ruled out: processor time (0.014 of a core). Now the owner of a bucket, one host by a hash, decides each request; heartbeats keep the next owner informed; a host that does not reach the owner keeps to its share. A program begins only if the bucket has room for what it is expected to need. Reads of the store grow more slowly than the fleet.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -65,6 +65,7 @@
 	beacon    *peers.Beacon
 	home      *turns.Home
 	client    *turns.Client
+	limiter   *quota.Limiter
 	config    *gateway.Config
 	discovery *gateway.Discovery
 	pool      *forward.Pool
@@ -83,23 +84,25 @@
 	store := platform.NewStore(s.Store, monitor)
 	p.registry = peers.NewRegistry(p.table, store, events)
 	limiter := quota.NewLimiter(s.RateWindow, p.table.Counts)
-	p.client = turns.NewClient(p.table, peers.NewCaller(p.table))
+	caller := peers.NewCaller(p.table)
+	p.limiter = limiter
+	p.client = turns.NewClient(p.table, caller)
 	p.home = turns.NewHome(store, p.client, s.StoreParts, events)
 	p.client.SetHome(p.home)
 	var err error
 	p.beacon, err = peers.NewBeacon(p.table, func(b *peers.Heartbeat) {
-		b.Admitted = limiter.Admitted()
+		b.Usage = limiter.Usage()
 	}, func(b peers.Heartbeat) {
-		limiter.Heard(b.Host.ID, b.Host.Incarnation, b.Admitted)
+		limiter.Heard(b.Host.ID, b.Host.Incarnation, b.Usage)
 	})
 	if err != nil {
 		return nil, err
 	}
 	replicas := replica.NewSet(s.Zone, events)
-	p.config = gateway.NewConfig(platform.NewConfigReader(store, s.Keyed, events), s.KeyFreshness, events)
-	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas)
+	p.config = gateway.NewConfig(platform.NewConfigReader(store, s.Keyed, events), s.KeyFreshness, p.table.Known, events)
+	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
 	p.pool = forward.NewPool()
-	p.gateway = gateway.New(gateway.Parts{Codec: platform.Codec{}, Config: p.config, Limiter: limiter,
+	p.gateway = gateway.New(gateway.Parts{Codec: platform.Codec{}, Config: p.config, Quota: quota.NewClient(p.table, caller, limiter), Costs: quota.NewCosts(),
 		Replicas: replicas, Pool: p.pool, Turns: p.client, Events: events})
 	return p, nil
 }
@@ -214,6 +217,9 @@
 	if err := server.RegisterName(turns.ServiceName, turns.NewService(p.home, p.client.Owns)); err != nil {
 		return oops.Wrapf(err, "register service")
 	}
+	if err := server.RegisterName(quota.ServiceName, quota.NewService(p.limiter)); err != nil {
+		return oops.Wrapf(err, "register service")
+	}
 	listener, err := net.Listen("tcp", p.table.Self().Addr)
 	if err != nil {
 		return oops.Wrapf(err, "listen for hosts")
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -14,7 +14,9 @@
 const (
 	// configWait is how long one read of the configuration waits for a change. Each
 	// read confirms the version in force.
-	configWait = 700 * time.Millisecond
+	configWait = 1000 * time.Millisecond
+	// configWaitMax bounds the wait in a large fleet, so that a lost store is noticed.
+	configWaitMax = 1500 * time.Millisecond
 	// configPause is the pause after a failed read.
 	configPause = 100 * time.Millisecond
 	// confirmAge is the age up to which a confirmation is taken for present when a
@@ -36,6 +38,7 @@
 // Config follows the configuration in force.
 type Config struct {
 	source    ConfigSource
+	hosts     func() int
 	events    *event.Logger
 	freshness atomic.Int64
 
@@ -49,8 +52,9 @@
 
 // NewConfig returns a follower of source. Freshness is how long keys may be used
 // without confirmation; 0 means for ever.
-func NewConfig(source ConfigSource, freshness time.Duration, events *event.Logger) *Config {
-	c := &Config{source: source, events: events}
+// Hosts returns the number of hosts that read the configuration.
+func NewConfig(source ConfigSource, freshness time.Duration, hosts func() int, events *event.Logger) *Config {
+	c := &Config{source: source, hosts: hosts, events: events}
 	c.SetFreshness(freshness)
 	return c
 }
@@ -87,7 +91,7 @@
 // Run follows the configuration until ctx ends.
 func (c *Config) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.read(ctx, configWait) {
+		if !c.read(ctx, pace(configWait, configWaitMax, c.hosts())) {
 			select {
 			case <-time.After(configPause):
 			case <-ctx.Done():
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -11,7 +11,9 @@
 const (
 	// discoveryInterval is how often the records of replicas are read. A leaving replica
 	// may get requests for two seconds and more after its record says so.
-	discoveryInterval = 350 * time.Millisecond
+	discoveryInterval = 500 * time.Millisecond
+	// discoveryMax bounds the time between two reads in a large fleet.
+	discoveryMax = time.Second
 	// returnTime is how long after the store's return the records of live replicas that
 	// lapsed meanwhile may be missing.
 	returnTime = 2200 * time.Millisecond
@@ -34,11 +36,13 @@
 type Discovery struct {
 	source ReplicaSource
 	set    *replica.Set
+	hosts  func() int
 }
 
-// NewDiscovery returns a follower that fills set.
-func NewDiscovery(source ReplicaSource, set *replica.Set) *Discovery {
-	return &Discovery{source: source, set: set}
+// NewDiscovery returns a follower that fills set. Hosts returns the number of hosts
+// that read the records.
+func NewDiscovery(source ReplicaSource, set *replica.Set, hosts func() int) *Discovery {
+	return &Discovery{source: source, set: set, hosts: hosts}
 }
 
 // Run follows the records until ctx ends.
@@ -54,7 +58,7 @@
 		}
 		d.set.Sweep()
 		select {
-		case <-time.After(discoveryInterval):
+		case <-time.After(pace(discoveryInterval, discoveryMax, d.hosts())):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,8 @@
 type Gateway struct {
 	codec    Codec
 	config   *Config
-	limiter  *quota.Limiter
+	quota    *quota.Client
+	costs    *quota.Costs
 	replicas *replica.Set
 	pool     *forward.Pool
 	turns    Turns
@@ -48,7 +49,8 @@
 type Parts struct {
 	Codec    Codec
 	Config   *Config
-	Limiter  *quota.Limiter
+	Quota    *quota.Client
+	Costs    *quota.Costs
 	Replicas *replica.Set
 	Pool     *forward.Pool
 	Turns    Turns
@@ -57,7 +59,7 @@
 
 // New returns a gateway.
 func New(p Parts) *Gateway {
-	return &Gateway{codec: p.Codec, config: p.Config, limiter: p.Limiter, replicas: p.Replicas,
+	return &Gateway{codec: p.Codec, config: p.Config, quota: p.Quota, costs: p.Costs, replicas: p.Replicas,
 		pool: p.Pool, turns: p.Turns, events: p.Events}
 }
 
@@ -122,8 +124,8 @@
 	if x.account != nil && !x.g.config.KeysUsable() {
 		return keysStale()
 	}
-	if admitted, wait := x.g.limiter.Admit(x.account); !admitted {
-		return &refusal{status: http.StatusTooManyRequests, reason: "rate of the client account exceeded", retryAfter: wait}
+	if f := x.admitRate(r.Context()); f != nil {
+		return f
 	}
 	patience := x.route.Timeout
 	if call.Patience > 0 && (patience <= 0 || call.Patience < patience) {
@@ -133,6 +135,33 @@
 	return nil
 }
 
+// admitRate takes the request off the client account's allowance.
+func (x *exchange) admitRate(ctx context.Context) *refusal {
+	r := quota.Request{Urgent: x.priority() == 0}
+	if x.route.KeepsTurns && x.call.Previous == "" {
+		r.Start, r.Cost = true, x.g.costs.Of(x.route.Name)
+	}
+	if reply := x.g.quota.Admit(ctx, x.account, x.table.Version, r); !reply.Admitted {
+		return &refusal{status: http.StatusTooManyRequests, reason: "rate of the client account exceeded",
+			retryAfter: reply.RetryAfter}
+	}
+	switch {
+	case x.route.KeepsTurns:
+		x.g.costs.Turn(x.route.Name, r.Start)
+	case x.call.Program != "":
+		x.g.costs.Request()
+	}
+	return nil
+}
+
+// priority is the rank of the request; 0 is served first.
+func (x *exchange) priority() int {
+	if x.account != nil && x.account.HasPriority {
+		return x.account.Priority
+	}
+	return x.route.Priority
+}
+
 func keysStale() *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: "configuration is unconfirmed", retryAfter: retryOther}
 }
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -10,7 +10,15 @@
 	// StoreLost says that the host does not reach the store, so that others should
 	// decide for its partitions.
 	StoreLost bool `cbor:"5,keyasint,omitempty"`
-	// Admitted counts the requests admitted since the start of the incarnation, by the
-	// hash of the client account's name.
-	Admitted map[uint32]uint32 `cbor:"4,keyasint,omitempty"`
+	// Usage is what client accounts used at the host since the start of its incarnation,
+	// by the hash of the account's name.
+	Usage map[uint32]Usage `cbor:"4,keyasint,omitempty"`
+}
+
+// Usage counts what a client account used.
+type Usage struct {
+	_ struct{} `cbor:",toarray"`
+	// Admitted requests, and requests that the programs let in are expected to need.
+	Admitted  uint32
+	Committed uint32
 }
--- a/internal/peers/registry.go
+++ b/internal/peers/registry.go
@@ -13,10 +13,11 @@
 )
 
 const (
-	// renewInterval is how often a host renews its record: three times within recordTimeout.
+	// renewInterval is how often a host renews its record, about three times within
+	// recordTimeout.
 	renewInterval = 3 * time.Second
 	// pollInterval is how often the records of the hosts are read.
-	pollInterval = time.Second
+	pollInterval = 2 * time.Second
 	// storeTimeout limits one call of the registry.
 	storeTimeout = 2 * time.Second
 )
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -164,6 +164,13 @@
 	return len(t.members) + 1, alive
 }
 
+// Known returns the number of known hosts, this one included.
+func (t *Table) Known() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members) + 1
+}
+
 // Serving returns the hosts that callers may be sent to, those of zone first.
 func (t *Table) Serving(zone string) []Host {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/quota/client.go
@@ -0,0 +1,62 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowslipgw/internal/peers"
+	"cowslipgw/internal/route"
+)
+
+// takeTimeout limits one call of a bucket's owner, which is one or two milliseconds
+// away and decides at once.
+const takeTimeout = 60 * time.Millisecond
+
+var ownerUnreachable = metrics.NewCounter("cowslipgw_quota_owner_unreachable_total")
+
+// Hosts is what the client needs of the table of hosts.
+type Hosts interface {
+	Self() peers.Host
+	Candidates(key uint64, limit int) []peers.Host
+}
+
+// Caller calls other hosts.
+type Caller interface {
+	Call(ctx context.Context, h peers.Host, method string, args, reply any) error
+}
+
+// Client admits requests at the owners of the accounts' buckets, and within this
+// host's own share of a bucket while its owner cannot be reached.
+type Client struct {
+	hosts   Hosts
+	caller  Caller
+	limiter *Limiter
+}
+
+// NewClient returns a client. Limiter holds the buckets of this host.
+func NewClient(hosts Hosts, caller Caller, limiter *Limiter) *Client {
+	return &Client{hosts: hosts, caller: caller, limiter: limiter}
+}
+
+// Admit takes one request off an account's allowance. An account without a rate has no
+// limit.
+func (c *Client) Admit(ctx context.Context, account *route.Account, version int64, r Request) TakeReply {
+	if account == nil || account.Rate <= 0 {
+		return TakeReply{Admitted: true}
+	}
+	args := TakeArgs{Account: account.Name, Version: version, Rate: account.Rate, Burst: max(account.Burst, 1), Request: r}
+	owners := c.hosts.Candidates(uint64(hashOf(account.Name))<<8, 1)
+	if len(owners) == 0 || owners[0].ID == c.hosts.Self().ID {
+		return c.limiter.Take(args, true)
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	var reply TakeReply
+	if err := c.caller.Call(ctx, owners[0], ServiceName+".Take", args, &reply); err != nil {
+		ownerUnreachable.Inc()
+		return c.limiter.Take(args, false)
+	}
+	return reply
+}
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -1,8 +1,11 @@
 // Package quota keeps each client account within its rate and burst over all hosts.
 //
-// Every host follows the bucket of each account: it takes off what it admits itself
-// and what the heartbeats of the others say that they admitted. While the bucket is
-// well filled a host admits at once; when it runs low, a host admits its share of what
-// is left, so that the hosts together stay within the bucket although each learns of
-// the others a little late.
+// The owner of an account's bucket, one host by a hash of the account, decides each
+// request. Heartbeats tell all hosts what the others admitted, so that the next owner
+// knows the bucket when the first is lost. A host that does not reach the owner admits
+// its share of the rate.
+//
+// Only whole programs count for callers. A bucket therefore also knows what the
+// programs that were let in will need, and lets another one begin only if there is room
+// for all of it.
 package quota
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cowslipgw/internal/boottime"
-	"cowslipgw/internal/route"
+	"cowslipgw/internal/peers"
 )
 
 // minRetry is the least time after which a refused caller is told to come back.
@@ -32,38 +32,23 @@
 // hashOf names an account in heartbeats.
 func hashOf(account string) uint32 { return uint32(xxhash.Sum64String(account)) }
 
-// Admit takes one request off the account's bucket. If it is refused, the duration is
-// the time until the account's rate brings the next token to this host.
-func (l *Limiter) Admit(account *route.Account) (bool, time.Duration) {
-	if account == nil || account.Rate <= 0 {
-		return true, 0
-	}
+// Take takes one request off a bucket. Owner says that this host decides for the
+// bucket; otherwise it keeps to its own share.
+func (l *Limiter) Take(args TakeArgs, owner bool) TakeReply {
 	f := fleet{}
 	f.known, f.alive = l.counts()
 	now := boottime.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	b := l.bucketLocked(hashOf(account.Name))
-	if b.rate != account.Rate || b.burst != max(account.Burst, 1) {
-		b.limit(account.Rate, max(account.Burst, 1), l.window, now)
-	}
-	if b.take(now, f) {
-		return true, 0
+	b := l.bucketLocked(hashOf(args.Account))
+	if args.Version >= b.version && (b.rate != args.Rate || b.burst != args.Burst) {
+		b.limit(args.Rate, args.Burst, l.window.Seconds(), now)
 	}
-	missing := max(1-b.own, 1-b.level)
-	wait := time.Duration(missing / (b.rate * f.part()) * float64(max(f.alive, 1)) * float64(time.Second))
-	return false, max(wait, minRetry)
-}
-
-// limit sets the rate and burst. A bucket whose past is unknown starts with what the
-// bound allows beyond them; a changed one keeps its level within the new burst.
-func (b *bucket) limit(rate, burst float64, window time.Duration, now boottime.Instant) {
-	if b.rate == 0 {
-		b.level = min(burst, startShare*(rate*window.Seconds()+burst)) + b.level
-		b.last = now
+	b.version = max(b.version, args.Version)
+	if b.take(now, f, args.Request, owner) {
+		return TakeReply{Admitted: true}
 	}
-	b.rate, b.burst = rate, burst
-	b.level = min(b.level, burst)
+	return TakeReply{RetryAfter: max(b.wait(f, args.Request, owner), minRetry)}
 }
 
 func (l *Limiter) bucketLocked(account uint32) *bucket {
@@ -75,24 +60,24 @@
 	return b
 }
 
-// Admitted returns this host's counters for its heartbeat.
-func (l *Limiter) Admitted() map[uint32]uint32 {
+// Usage returns this host's counters for its heartbeat.
+func (l *Limiter) Usage() map[uint32]peers.Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := make(map[uint32]uint32, len(l.buckets))
+	counts := make(map[uint32]peers.Usage, len(l.buckets))
 	for account, b := range l.buckets {
-		if b.admitted > 0 {
-			counts[account] = b.admitted
+		if b.used.Admitted > 0 {
+			counts[account] = b.used
 		}
 	}
 	return counts
 }
 
 // Heard enters the counters of another host.
-func (l *Limiter) Heard(host string, incarnation int64, admitted map[uint32]uint32) {
+func (l *Limiter) Heard(host string, incarnation int64, usage map[uint32]peers.Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for account, count := range admitted {
-		l.bucketLocked(account).heard(host, incarnation, count)
+	for account, used := range usage {
+		l.bucketLocked(account).heard(host, incarnation, used)
 	}
 }
