--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,10 @@
 	"cowslipgw/internal/turns"
 )
 
+// rateWait is how long a request of a program under way waits for its account's rate. A
+// refusal would cost the caller one of few retries, and then the whole program.
+const rateWait = 300 * time.Millisecond
+
 // bodyLimit is the largest body while the configuration names none.
 const bodyLimit = 4 << 20
 
@@ -141,7 +145,15 @@
 	if x.route.KeepsTurns && x.call.Previous == "" {
 		r.Start, r.Cost = true, x.g.costs.Of(x.route.Name)
 	}
-	if reply := x.g.quota.Admit(ctx, x.account, x.table.Version, r); !reply.Admitted {
+	reply := x.g.quota.Admit(ctx, x.account, x.table.Version, r)
+	for !reply.Admitted && !r.Start && time.Since(x.start)+reply.RetryAfter <= rateWait {
+		select {
+		case <-time.After(reply.RetryAfter):
+		case <-ctx.Done():
+		}
+		reply = x.g.quota.Admit(ctx, x.account, x.table.Version, r)
+	}
+	if !reply.Admitted {
 		return &refusal{status: http.StatusTooManyRequests, reason: "rate of the client account exceeded",
 			retryAfter: reply.RetryAfter}
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -14,7 +14,10 @@
 	startShare = 0.1
 	// commitShare of the rate may be committed to programs. The rest covers programs
 	// that need more than expected.
-	commitShare = 0.92
+	commitShare = 0.87
+	// startLevel of the burst must be in the bucket for a program to begin; what is
+	// below is left to programs under way.
+	startLevel = 0.2
 	// urgentReserve of the burst is left to programs of the most urgent rank.
 	urgentReserve = 0.25
 )
@@ -81,7 +84,7 @@
 		if !r.Urgent {
 			reserve = urgentReserve * b.burst * f.part()
 		}
-		if b.uncommitted <= reserve {
+		if b.uncommitted <= reserve || b.level < startLevel*b.burst*f.part() {
 			return false
 		}
 		b.uncommitted -= r.Cost
@@ -100,7 +103,7 @@
 	missing := 1 - b.level
 	rate := b.rate * f.part()
 	if r.Start {
-		missing = max(missing, -b.uncommitted/commitShare)
+		missing = max(missing, -b.uncommitted/commitShare, startLevel*b.burst*f.part()-b.level)
 	}
 	if !owner {
 		missing = max(missing, (1-b.own)*float64(f.alive))
