Tell callers when the store is lost everywhere, and retry appends less often

Now the refusal says one second if no live host reaches the store, pauses between appends double up to 250 ms, and the loss is logged once.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -103,7 +103,8 @@
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
 	p.pool = forward.NewPool()
 	p.gateway = gateway.New(gateway.Parts{Codec: platform.Codec{}, Config: p.config, Quota: quota.NewClient(p.table, caller, limiter), Costs: quota.NewCosts(),
-		Replicas: replicas, Pool: p.pool, Turns: p.client, Events: events})
+		Replicas: replicas, Pool: p.pool, Turns: p.client, Events: events,
+		StoreElsewhere: p.table.StoreElsewhere})
 	return p, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,8 @@
 	pool     *forward.Pool
 	turns    Turns
 	events   *event.Logger
+	// storeElsewhere reports whether another live host reaches the store.
+	storeElsewhere func() bool
 
 	leaving atomic.Bool
 	active  atomic.Int64
@@ -59,12 +61,15 @@
 	Pool     *forward.Pool
 	Turns    Turns
 	Events   *event.Logger
+	// StoreElsewhere reports whether another live host reaches the store.
+	StoreElsewhere func() bool
 }
 
 // New returns a gateway.
 func New(p Parts) *Gateway {
 	return &Gateway{codec: p.Codec, config: p.Config, quota: p.Quota, costs: p.Costs, replicas: p.Replicas,
-		pool: p.Pool, turns: p.Turns, events: p.Events}
+		pool: p.Pool, turns: p.Turns, events: p.Events,
+		storeElsewhere: p.StoreElsewhere}
 }
 
 // Leave makes the gateway end each connection with its next answer.
@@ -126,7 +131,7 @@
 	}
 	// The body may have taken long; a key is judged by what is known now.
 	if x.account != nil && !x.g.config.KeysUsable() {
-		return keysStale()
+		return x.g.keysStale()
 	}
 	if f := x.admitRate(r.Context()); f != nil {
 		return f
@@ -174,10 +179,6 @@
 	return x.route.Priority
 }
 
-func keysStale() *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: "configuration is unconfirmed", retryAfter: retryOther}
-}
-
 // authorize finds the route and the client account. A denial is confirmed with the
 // store first, since the configuration may just have changed.
 func (x *exchange) authorize(ctx context.Context, table *route.Table) *refusal {
@@ -186,7 +187,7 @@
 		return f
 	}
 	if !x.g.config.Confirm(ctx) {
-		return keysStale()
+		return x.g.keysStale()
 	}
 	return x.match(x.g.config.Table())
 }
@@ -200,7 +201,7 @@
 	x.account = nil
 	if table.NeedsKey(x.route) {
 		if !x.g.config.KeysUsable() {
-			return keysStale()
+			return x.g.keysStale()
 		}
 		if x.account = table.AccountOfKey(x.call.Key); x.account == nil {
 			return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -21,8 +21,23 @@
 	retryOther = 20 * time.Millisecond
 	// retrySoon: a replica or a home is expected to answer again.
 	retrySoon = 100 * time.Millisecond
+	// retryStore: no host reaches the store, whose outages last seconds.
+	retryStore = time.Second
 )
 
+// unavailable refuses a request that this host cannot decide on without the store.
+func (g *Gateway) unavailable(reason string, otherwise time.Duration) *refusal {
+	if !g.storeElsewhere() && g.config.Lost() {
+		otherwise = retryStore
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: otherwise}
+}
+
+// keysStale refuses a request because its key may have been withdrawn.
+func (g *Gateway) keysStale() *refusal {
+	return g.unavailable("configuration is unconfirmed", retryOther)
+}
+
 // write sends the refusal as JSON.
 func (f refusal) write(w http.ResponseWriter) {
 	body, err := json.Marshal(map[string]string{"error": f.reason})
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -39,7 +39,7 @@
 	args := turns.BeginArgs{Account: x.accountName(), Program: program, Turn: x.call.ID, Parent: x.call.Previous,
 		Budget: x.call.Budget, MaxTokens: x.call.MaxTokens, RetentionMS: x.route.TurnRetention.Milliseconds()}
 	begun, flattened := x.g.turns.Begin(ctx, args)
-	if f := refusalOf(begun.Outcome); f != nil {
+	if f := x.g.refusalOf(begun.Outcome); f != nil {
 		x.refuse(*f)
 		return
 	}
@@ -77,7 +77,7 @@
 }
 
 // refusalOf returns the answer to a turn that may not begin, or nil.
-func refusalOf(o turns.Outcome) *refusal {
+func (g *Gateway) refusalOf(o turns.Outcome) *refusal {
 	switch o {
 	case turns.Granted:
 		return nil
@@ -86,7 +86,7 @@
 	case turns.UnknownParent, turns.ForeignParent:
 		return &refusal{status: http.StatusNotFound, reason: "no such turn to continue"}
 	default:
-		return &refusal{status: http.StatusServiceUnavailable, reason: "state of the program is not available", retryAfter: retrySoon}
+		return g.unavailable("state of the program is not available", retrySoon)
 	}
 }
 
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -164,6 +164,19 @@
 	return len(t.members) + 1, alive
 }
 
+// StoreElsewhere reports whether another live host reaches the store.
+func (t *Table) StoreElsewhere() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now, timeout := boottime.Now(), t.timeoutLocked()
+	for _, m := range t.members {
+		if m.alive(now, timeout) && !m.storeLost {
+			return true
+		}
+	}
+	return false
+}
+
 // Known returns the number of known hosts, this one included.
 func (t *Table) Known() int {
 	t.mu.Lock()
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -18,7 +18,9 @@
 	// appendTimeout limits one append.
 	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the pause before an append is repeated.
-	appendPause = 60 * time.Millisecond
+	appendPause = 50 * time.Millisecond
+	// appendPauseMax bounds the pause; it delays answers after the store's return.
+	appendPauseMax = 250 * time.Millisecond
 	// maxBatch bounds the records of one append, in bytes.
 	maxBatch = 1 << 20
 	// sweepInterval is how often expired turns and old copies are looked for.
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -15,6 +15,7 @@
 // runs for a partition at a time.
 func (h *Home) write(p *partition) {
 	ctx := context.Background()
+	pause := appendPause
 	for {
 		batch, records, expected := p.takeBatch()
 		if len(batch) == 0 {
@@ -26,23 +27,31 @@
 		switch {
 		case err == nil:
 			p.saved(batch, end)
+			pause = appendPause
 		case errors.Is(err, storelog.ErrConflict):
 			// Another home has written, or an append of this one took effect although its
 			// answer was lost. The records decide.
 			if err := h.sync(ctx, p); err != nil {
-				p.trouble()
-				time.Sleep(appendPause)
+				h.appendFailed(p, err, &pause)
 				continue
 			}
 			p.revalidate()
 		default:
-			p.trouble()
-			h.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error(), "unsaved": len(batch)})
-			time.Sleep(appendPause)
+			h.appendFailed(p, err, &pause)
 		}
 	}
 }
 
+// appendFailed notes that the store does not take appends, and sleeps. The pause
+// doubles up to appendPauseMax.
+func (h *Home) appendFailed(p *partition, err error, pause *time.Duration) {
+	if p.trouble() {
+		h.events.Log(event.TurnsUnsaved, event.Fields{"partition": p.id, "error": err.Error()})
+	}
+	time.Sleep(*pause)
+	*pause = min(2**pause, appendPauseMax)
+}
+
 // takeBatch returns the changes for the next append and the expected end. Without any
 // the write has ended.
 func (p *partition) takeBatch() ([]*change, []storelog.Record, int64) {
@@ -95,11 +104,13 @@
 	}
 }
 
-// trouble notes that the store does not take appends.
-func (p *partition) trouble() {
+// trouble notes that the store does not take appends. It reports whether that is new.
+func (p *partition) trouble() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	fresh := !p.troubled
 	p.troubled = true
+	return fresh
 }
 
 // revalidate checks the unsaved reservations against what other homes have written,
