Follow the buckets of all accounts at every host

Cause: a host that came to own a bucket had only taken off what others admitted and never refilled it, since it learned the rate with the first request; every planned restart of an owner refused requests within their rate. Now each version of the configuration sets the rates of all buckets.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -99,7 +99,8 @@
 		return nil, err
 	}
 	replicas := replica.NewSet(s.Zone, events)
-	p.config = gateway.NewConfig(platform.NewConfigReader(store, s.Keyed, events), s.KeyFreshness, p.table.Known, events)
+	p.config = gateway.NewConfig(platform.NewConfigReader(store, s.Keyed, events), s.KeyFreshness, p.table.Known,
+		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
 	p.pool = forward.NewPool()
 	p.gateway = gateway.New(gateway.Parts{Codec: platform.Codec{}, Config: p.config, Quota: quota.NewClient(p.table, caller, limiter), Costs: quota.NewCosts(),
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -39,6 +39,7 @@
 type Config struct {
 	source    ConfigSource
 	hosts     func() int
+	applied   func(*route.Table)
 	events    *event.Logger
 	freshness atomic.Int64
 
@@ -52,9 +53,10 @@
 
 // NewConfig returns a follower of source. Freshness is how long keys may be used
 // without confirmation; 0 means for ever.
-// Hosts returns the number of hosts that read the configuration.
-func NewConfig(source ConfigSource, freshness time.Duration, hosts func() int, events *event.Logger) *Config {
-	c := &Config{source: source, hosts: hosts, events: events}
+// Hosts returns the number of hosts that read the configuration; applied is called with
+// each new version before it is in force.
+func NewConfig(source ConfigSource, freshness time.Duration, hosts func() int, applied func(*route.Table), events *event.Logger) *Config {
+	c := &Config{source: source, hosts: hosts, applied: applied, events: events}
 	c.SetFreshness(freshness)
 	return c
 }
@@ -125,6 +127,7 @@
 		c.events.Log(event.StoreRegained, event.Fields{"age_ms": c.age().Milliseconds()})
 	}
 	if old := c.table.Load(); table != nil && (old == nil || table.Version > old.Version) {
+		c.applied(table)
 		c.table.Store(table)
 		c.events.Log(event.ConfigApplied, event.Fields{"version": table.Version})
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -115,8 +115,8 @@
 func (b *bucket) heard(host string, incarnation int64, used peers.Usage) {
 	last, known := b.others[host]
 	b.others[host] = counter{incarnation: incarnation, used: used}
-	if !known {
-		return
+	if !known || b.rate == 0 {
+		return // the past of the bucket is unknown
 	}
 	if last.incarnation != incarnation {
 		last.used = peers.Usage{}
@@ -125,13 +125,17 @@
 	b.uncommitted -= float64(used.Committed - last.used.Committed)
 }
 
-// limit sets the rate and burst. A bucket whose past is unknown starts with what the
-// bound allows beyond them; a changed one keeps its level within the new burst.
-func (b *bucket) limit(rate, burst, window float64, now boottime.Instant) {
+// configure sets the rate and burst of a version of the configuration, unless a newer
+// one is known. A bucket whose past is unknown starts with what the bound allows beyond
+// them; a changed one keeps its level within the new burst.
+func (b *bucket) configure(version int64, rate, burst float64, window time.Duration, now boottime.Instant) {
+	if version < b.version {
+		return
+	}
+	b.version = version
 	if b.rate == 0 {
-		start := min(burst, startShare*(rate*window+burst))
-		b.level += start
-		b.uncommitted += burst
+		b.level = min(burst, startShare*(rate*window.Seconds()+burst))
+		b.uncommitted = burst
 		b.last = now
 	}
 	b.rate, b.burst = rate, burst
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -8,6 +8,7 @@
 
 	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/peers"
+	"cowslipgw/internal/route"
 )
 
 // minRetry is the least time after which a refused caller is told to come back.
@@ -32,6 +33,19 @@
 // hashOf names an account in heartbeats.
 func hashOf(account string) uint32 { return uint32(xxhash.Sum64String(account)) }
 
+// Configure sets the rates of a version of the configuration. Every host follows all
+// buckets, so that it knows those that it comes to own.
+func (l *Limiter) Configure(table *route.Table) {
+	now := boottime.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, account := range table.Accounts() {
+		if account.Rate > 0 {
+			l.bucketLocked(hashOf(account.Name)).configure(table.Version, account.Rate, max(account.Burst, 1), l.window, now)
+		}
+	}
+}
+
 // Take takes one request off a bucket. Owner says that this host decides for the
 // bucket; otherwise it keeps to its own share.
 func (l *Limiter) Take(args TakeArgs, owner bool) TakeReply {
@@ -41,10 +55,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucketLocked(hashOf(args.Account))
-	if args.Version >= b.version && (b.rate != args.Rate || b.burst != args.Burst) {
-		b.limit(args.Rate, args.Burst, l.window.Seconds(), now)
-	}
-	b.version = max(b.version, args.Version)
+	b.configure(args.Version, args.Rate, args.Burst, l.window, now)
 	if b.take(now, f, args.Request, owner) {
 		return TakeReply{Admitted: true}
 	}
@@ -77,7 +88,12 @@
 func (l *Limiter) Heard(host string, incarnation int64, usage map[uint32]peers.Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	f := fleet{}
+	f.known, f.alive = l.counts()
+	now := boottime.Now()
 	for account, used := range usage {
-		l.bucketLocked(account).heard(host, incarnation, used)
+		b := l.bucketLocked(account)
+		b.refill(now, f)
+		b.heard(host, incarnation, used)
 	}
 }
