Begin the next turn of a line without an append

Ruled out: keeping reservations at other hosts only, since all hosts may be lost at once and a program that returns would get its budget again. Now each record of a program says what its home may grant ahead; a home that takes over counts that as used.

--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -5,6 +5,8 @@
 	turn Turn
 	// budget bounds the program's tokens when the change reserves some; 0 otherwise.
 	budget int
+	// ahead is what the record of the change lets this home grant ahead.
+	ahead int
 	// done is closed when the change is in the store or was withdrawn.
 	done chan struct{}
 	// withdrawn says that the budget turned out to be used by another home.
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"cowslipgw/internal/event"
@@ -48,8 +49,9 @@
 // NewHome returns a home whose topics have partsPerTopic partitions each.
 func NewHome(log storelog.Log, copier Copier, partsPerTopic int, events *event.Logger) *Home {
 	h := &Home{log: log, copier: copier, events: events}
+	writer := rand.Int64()
 	for id := range h.parts {
-		h.parts[id] = newPartition(id, partsPerTopic)
+		h.parts[id] = newPartition(id, partsPerTopic, writer)
 	}
 	return h
 }
@@ -101,21 +103,24 @@
 		}
 		reply.Chain, reply.Replica = chain, parent.Replica
 	}
-	used := 0
-	if g := p.programs[programKey{args.Account, args.Program}]; g != nil {
-		used = g.tokens
+	t := Turn{
+		ID: args.Turn, Parent: args.Parent, Account: args.Account, Program: args.Program,
+		State: Open, Tokens: args.MaxTokens,
+		Expiry: time.Now().UnixMilli() + args.RetentionMS,
 	}
+	g := p.programLocked(&t)
+	g.budget = args.Budget
+	used := g.used() - g.open[args.Turn]
 	if old := p.turns[args.Turn]; old != nil {
 		used -= old.Tokens
 	}
 	if args.Budget > 0 && used+args.MaxTokens > args.Budget {
 		return BeginReply{Outcome: Exhausted}, nil
 	}
-	c := &change{budget: args.Budget, done: make(chan struct{}), turn: Turn{
-		ID: args.Turn, Parent: args.Parent, Account: args.Account, Program: args.Program,
-		State: Open, Tokens: args.MaxTokens,
-		Expiry: time.Now().UnixMilli() + args.RetentionMS,
-	}}
+	if g.grantAhead(args.Turn, args.MaxTokens) {
+		return reply, nil
+	}
+	c := &change{budget: args.Budget, done: make(chan struct{}), turn: t}
 	h.enterLocked(p, c)
 	return reply, c
 }
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -18,8 +18,10 @@
 
 // partition is the state of one partition at this host. Lock order: loading, mu.
 type partition struct {
-	id    int
-	where storelog.Partition
+	id int
+	// writer names this home in records.
+	writer int64
+	where  storelog.Partition
 
 	// loading serializes reads of the store into this partition.
 	loading sync.Mutex
@@ -45,8 +47,8 @@
 	since time.Time
 }
 
-func newPartition(id, partsPerTopic int) *partition {
-	p := &partition{id: id, where: partitionName(id, partsPerTopic), copies: make(map[string]*keptCopy)}
+func newPartition(id, partsPerTopic int, writer int64) *partition {
+	p := &partition{id: id, writer: writer, where: partitionName(id, partsPerTopic), copies: make(map[string]*keptCopy)}
 	p.clearLocked()
 	return p
 }
@@ -70,9 +72,23 @@
 		return false
 	}
 	p.mergeLocked(&t)
+	if t.Writer != p.writer {
+		p.programLocked(&t).foreignRecord(r.Offset, t.Ahead)
+	}
 	return true
 }
 
+// programLocked returns the program of a turn.
+func (p *partition) programLocked(t *Turn) *program {
+	key := programKey{t.Account, t.Program}
+	g := p.programs[key]
+	if g == nil {
+		g = newProgram()
+		p.programs[key] = g
+	}
+	return g
+}
+
 // mergeLocked enters a turn unless a later state of it is known. It reports whether
 // the turn was entered.
 func (p *partition) mergeLocked(t *Turn) bool {
@@ -80,12 +96,8 @@
 	if old != nil && (old.State > t.State || (old.State == Ended && t.State == Ended)) {
 		return false
 	}
-	key := programKey{t.Account, t.Program}
-	g := p.programs[key]
-	if g == nil {
-		g = &program{turns: make(map[string]struct{})}
-		p.programs[key] = g
-	}
+	g := p.programLocked(t)
+	delete(g.open, t.ID)
 	if old != nil {
 		g.tokens -= old.Tokens
 	}
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -61,6 +61,9 @@
 	var records []storelog.Record
 	size := 0
 	for _, c := range p.unsaved {
+		g := p.programLocked(&c.turn)
+		c.ahead = g.nextAhead()
+		c.turn.Ahead, c.turn.Writer = g.inherited+c.ahead, p.writer
 		value, err := cbor.Marshal(c.turn)
 		if err != nil {
 			panic("turn cannot be encoded: " + err.Error())
@@ -100,6 +103,8 @@
 	p.troubled = false
 	p.unsaved = p.unsaved[len(batch):]
 	for _, c := range batch {
+		g := p.programLocked(&c.turn)
+		g.ahead, g.written = c.ahead, c.ahead
 		close(c.done)
 	}
 }
@@ -121,7 +126,7 @@
 	kept := make([]*change, 0, len(p.unsaved))
 	for _, c := range p.unsaved {
 		g := p.programs[programKey{c.turn.Account, c.turn.Program}]
-		if c.budget > 0 && g != nil && g.tokens > c.budget && p.turns[c.turn.ID] != nil && p.turns[c.turn.ID].State == Open {
+		if c.budget > 0 && g != nil && g.used() > c.budget && p.turns[c.turn.ID] != nil && p.turns[c.turn.ID].State == Open {
 			p.removeLocked(c.turn.ID)
 			c.withdrawn = true
 			close(c.done)
