Add a fault soak over real processes

'cowslipgw soak' starts gateway processes against stand-ins of the platform's store and replicas, harms connections through loopback proxies and processes by signals, in series that overlap, and checks from what callers and replicas saw: whole and own answers, one run of what may run once, true refusals, histories, keys, budgets, and that turns that were answered whole can be continued afterwards.

--- a/cmd/cowslipgw/main.go
+++ b/cmd/cowslipgw/main.go
@@ -29,6 +29,7 @@
 	return []command{
 		serveCommand(),
 		gatewayCommand(),
+		soakCommand(),
 		devCommand(),
 		{name: "check", summary: "report the faults of a settings file or of the two lists", run: check},
 		{name: "lists", summary: "get, put or show the history of the operators' lists", run: runLists},
