Try replicas again after failures; test the request path without the bench

Cause: the share of failures that a host had seen of a replica changed only with further results, so a replica that failed for a moment got no work for ever while others were free. Now the share halves every 2 s.

--- /dev/null
+++ b/internal/forward/send_test.go
@@ -0,0 +1,228 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serveRaw accepts connections and hands each to serve; it counts them.
+func serveRaw(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var count atomic.Int64
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			count.Add(1)
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return listener.Addr().String(), &count
+}
+
+// reply is an answer with the ID of a request.
+func reply(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// answerAll answers each request on a connection with the bytes that respond returns.
+func answerAll(respond func(id string) string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(c, respond(request.Header.Get("Id"))); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// send sends a request with an ID and returns the body of its answer.
+func send(t *testing.T, p *Pool, addr, id string, body ...[]byte) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	r := &Request{Method: "POST", URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: body, HasBody: true, Addr: addr}
+	a, err := p.Send(ctx, r, func(_ int, h http.Header) bool { return h.Get("Id") == id })
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	content, err := io.ReadAll(a)
+	return string(content), err
+}
+
+// TestConnectionIsKept guards against a new connection for each request.
+func TestConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	addr, count := serveRaw(t, answerAll(func(id string) string { return reply(id, "for "+id) }))
+	p := NewPool()
+	for _, id := range []string{"a", "b", "c"} {
+		got, err := send(t, p, addr, id)
+		is.NoErr(err)
+		is.Equal(got, "for "+id)
+	}
+	is.Equal(count.Load(), int64(1))
+}
+
+// TestExtraAnswers guards against the answer to an earlier request that is taken for
+// the answer to the next one, whether it comes at once or late.
+func TestExtraAnswers(t *testing.T) {
+	is := is.New(t)
+	addr, _ := serveRaw(t, answerAll(func(id string) string { return reply(id, "first") + reply(id, "extra") }))
+	p := NewPool()
+	for _, id := range []string{"a", "b"} {
+		got, err := send(t, p, addr, id)
+		is.NoErr(err)
+		is.Equal(got, "first")
+	}
+	late, _ := serveRaw(t, answerAll(func(id string) string {
+		if id == "b" {
+			return reply("a", "late answer to a") + reply(id, "for b")
+		}
+		return reply(id, "for a")
+	}))
+	for _, id := range []string{"a", "b"} {
+		got, err := send(t, p, late, id)
+		is.NoErr(err)
+		is.Equal(got, "for "+id)
+	}
+}
+
+// TestBrokenAnswers guards against an answer that looks whole although it is not, and
+// against a failure that does not say that the request may have run.
+func TestBrokenAnswers(t *testing.T) {
+	for name, answer := range map[string]string{
+		"cut in the body": "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nabc",
+		"cut in a chunk":  "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+		"cut in the head": "HTTP/1.1 200 OK\r\nId: a\r\nConte",
+		"no answer":       "",
+		"other bytes":     "bytes that are no answer\r\n\r\n",
+	} {
+		addr, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+			if request, err := http.ReadRequest(r); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(c, answer)
+			}
+		})
+		got, err := send(t, NewPool(), addr, "a")
+		if err == nil {
+			t.Errorf("%s: taken for whole: %q", name, got)
+		}
+		if errors.Is(err, ErrUnreachable) {
+			t.Errorf("%s: said not to have been sent", name)
+		}
+	}
+}
+
+// TestUnreachable guards against a request that is said to have been sent although no
+// connection was opened.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := listener.Addr().String()
+	is.NoErr(listener.Close())
+	_, err = send(t, NewPool(), addr, "a")
+	is.True(errors.Is(err, ErrUnreachable))
+}
+
+// TestEarlyAnswer guards against bytes of the next request that a replica reads as the
+// rest of a long body which it had not read when it answered.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	foreign := make(chan string, 4)
+	addr, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, reply(request.Header.Get("Id"), "early"))
+		time.Sleep(100 * time.Millisecond)
+		body, _ := io.ReadAll(request.Body)
+		if strings.Trim(string(body), "x") != "" {
+			foreign <- "bytes that are not of the body"
+		}
+		answerAll(func(id string) string { return reply(id, "second") })(c, r)
+	})
+	p := NewPool()
+	long := []byte(strings.Repeat("x", 8<<20))
+	got, err := send(t, p, addr, "a", long)
+	is.NoErr(err)
+	is.Equal(got, "early")
+	_, err = send(t, p, addr, "b")
+	is.NoErr(err)
+	select {
+	case what := <-foreign:
+		t.Fatal(what)
+	case <-time.After(300 * time.Millisecond):
+	}
+}
+
+// TestClosedIdleConnection guards against a request that is sent on a connection which
+// the replica has closed meanwhile, and then may or may not have run.
+func TestClosedIdleConnection(t *testing.T) {
+	is := is.New(t)
+	addr, count := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		if request, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, reply(request.Header.Get("Id"), "x"))
+		}
+	})
+	p := NewPool()
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := send(t, p, addr, id)
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	is.Equal(count.Load(), int64(3))
+}
+
+// TestCancelClosesConnection guards against a replica that works on for a caller that
+// has left.
+func TestCancelClosesConnection(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	addr, _ := serveRaw(t, func(_ net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = r.ReadByte()
+			close(closed)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := NewPool().Send(ctx, &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Addr: addr},
+		func(int, http.Header) bool { return true })
+	is.True(err != nil)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("connection is still open")
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,6 +32,8 @@
 	// status is what the caller got; 0 if the connection was ended.
 	status int
 	reason string
+	// left says that the caller had closed its connection.
+	left bool
 }
 
 // refuse answers for the system.
@@ -80,6 +82,9 @@
 		fields["reason"] = x.reason
 	}
 	switch {
+	case x.left:
+		requestsAbandoned.Inc()
+		x.g.events.Log(event.CallerLeft, fields)
 	case x.status == 0 || x.status == http.StatusBadGateway || x.status == http.StatusGatewayTimeout:
 		requestsFailed.Inc()
 		x.g.events.Log(event.RequestFailed, fields)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,10 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	x := &exchange{g: g, w: w, start: time.Now()}
-	defer x.report()
+	defer func() {
+		x.left = r.Context().Err() != nil
+		x.report()
+	}()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -220,8 +223,9 @@
 }
 
 var (
-	requestsAnswered = metrics.NewCounter(`cowslipgw_requests_total{outcome="answered"}`)
-	requestsRefused  = metrics.NewCounter(`cowslipgw_requests_total{outcome="refused"}`)
-	requestsFailed   = metrics.NewCounter(`cowslipgw_requests_total{outcome="failed"}`)
-	requestSeconds   = metrics.NewHistogram("cowslipgw_request_seconds")
+	requestsAnswered  = metrics.NewCounter(`cowslipgw_requests_total{outcome="answered"}`)
+	requestsRefused   = metrics.NewCounter(`cowslipgw_requests_total{outcome="refused"}`)
+	requestsFailed    = metrics.NewCounter(`cowslipgw_requests_total{outcome="failed"}`)
+	requestsAbandoned = metrics.NewCounter(`cowslipgw_requests_total{outcome="abandoned"}`)
+	requestSeconds    = metrics.NewHistogram("cowslipgw_request_seconds")
 )
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,215 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipgw/internal/storelog"
+)
+
+// got is what a caller got.
+type got struct {
+	status int
+	body   string
+	whole  bool
+	header http.Header
+}
+
+// call sends a request. Fields are names and values of headers.
+func (w *world) call(t *testing.T, method, path, body string, fields ...string) got {
+	t.Helper()
+	r, err := http.NewRequest(method, w.entry.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := 0; n < len(fields); n += 2 {
+		r.Header.Set(fields[n], fields[n+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return got{}
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	return got{status: answer.StatusCode, body: string(content), whole: err == nil, header: answer.Header}
+}
+
+// signed answers with the request's ID and a signature.
+func signed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Signed", "1")
+}
+
+// answering counts its runs and answers with the account and the body.
+func answering(runs *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		runs.Add(1)
+		signed(w, r)
+		_, _ = io.WriteString(w, r.Header.Get("Account")+" "+r.Header.Get("Key")+string(body))
+	}
+}
+
+// breaking counts its runs and breaks off every answer.
+func breaking(runs *atomic.Int64) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		runs.Add(1)
+		signed(w, r)
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refusing says that it did not run the request.
+func refusing(w http.ResponseWriter, r *http.Request) {
+	signed(w, r)
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// TestAuthorization guards against requests that run without a key, with an unknown one
+// or for another account, and against the key reaching an upstream.
+func TestAuthorization(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	w := newWorld(t, 0, answering(&runs))
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "a").status, http.StatusUnauthorized)
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "a", "Key", "other").status, http.StatusUnauthorized)
+	is.Equal(w.call(t, "GET", "/none/1", "", "Id", "a", "Key", "k").status, http.StatusNotFound)
+	is.Equal(runs.Load(), int64(0))
+	is.Equal(w.call(t, "POST", "/safe/1", "body", "Id", "a", "Key", "k", "Account", "forged").body, "acme body")
+	is.Equal(w.call(t, "POST", "/safe/1", strings.Repeat("x", 1001), "Id", "a", "Key", "k").status, http.StatusRequestEntityTooLarge)
+}
+
+// TestUnsafeRunsOnce guards against a non-idempotent request that is sent again after it
+// may have run, and against a refusal that says it has not.
+func TestUnsafeRunsOnce(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	w := newWorld(t, 0, breaking(&runs), breaking(&runs), breaking(&runs))
+	is.Equal(w.call(t, "POST", "/unsafe/1", "x", "Id", "a", "Key", "k").status, http.StatusBadGateway)
+	is.Equal(runs.Load(), int64(1))
+}
+
+// TestUnsafeAfterRefusal guards against a non-idempotent request that is given up
+// although the replica said that it had not run it.
+func TestUnsafeAfterRefusal(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	w := newWorld(t, 0, refusing, refusing, answering(&runs))
+	is.Equal(w.call(t, "POST", "/unsafe/1", "x", "Id", "a", "Key", "k").status, http.StatusOK)
+	is.Equal(runs.Load(), int64(1))
+	none := newWorld(t, 0, refusing, refusing)
+	refused := none.call(t, "POST", "/unsafe/1", "x", "Id", "b", "Key", "k")
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.Equal(refused.header.Get("Signed"), "") // the answer is not a replica's
+	is.True(refused.header.Get("Retry-After") != "")
+}
+
+// TestSafeIsRepeated guards against a failed idempotent request while another replica
+// could serve it, and against more attempts than the route allows.
+func TestSafeIsRepeated(t *testing.T) {
+	is := is.New(t)
+	var broken, whole atomic.Int64
+	w := newWorld(t, 0, breaking(&broken), breaking(&broken), answering(&whole))
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "a", "Key", "k").status, http.StatusOK)
+	w = newWorld(t, 0, breaking(&broken), breaking(&broken), breaking(&broken), breaking(&broken))
+	broken.Store(0)
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "b", "Key", "k").status, http.StatusBadGateway)
+	is.Equal(broken.Load(), int64(3))
+}
+
+// TestSilentReplica guards against an idempotent request that waits for a silent replica
+// until its time is up.
+func TestSilentReplica(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	silent := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the connection is noticed only then
+		<-r.Context().Done()
+	}
+	w := newWorld(t, 0, silent, answering(&runs))
+	for range 6 {
+		start := time.Now()
+		is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "a", "Key", "k").status, http.StatusOK)
+		is.True(time.Since(start) < time.Second)
+	}
+	w = newWorld(t, 0, silent)
+	start := time.Now()
+	is.Equal(w.call(t, "POST", "/unsafe/1", "x", "Id", "b", "Key", "k", "Patience", "300").status, http.StatusGatewayTimeout)
+	is.True(time.Since(start) < 600*time.Millisecond)
+}
+
+// TestStaleKeysAreRefused guards against a key that is used although the host may have
+// missed its withdrawal.
+func TestStaleKeysAreRefused(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	w := newWorld(t, 700*time.Millisecond, answering(&runs))
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "a", "Key", "k").status, http.StatusOK)
+	w.source.down.Store(true)
+	time.Sleep(time.Second)
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "b", "Key", "k").status, http.StatusServiceUnavailable)
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "c", "Key", "unknown").status, http.StatusServiceUnavailable)
+	is.Equal(runs.Load(), int64(1))
+	w.source.down.Store(false)
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "d", "Key", "k").status, http.StatusOK)
+}
+
+// engine streams two events with the body's length and counts its runs.
+func engine(seen *[]string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		*seen = append(*seen, string(body))
+		signed(w, r)
+		for _, event := range []string{"one", "two"} {
+			_, _ = io.WriteString(w, "id: 1\ndata: "+event+"\n\n")
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+// TestTurnsAreChained guards against a turn whose history reaches the engine in part, or
+// that another account can continue.
+func TestTurnsAreChained(t *testing.T) {
+	is := is.New(t)
+	var seen []string
+	w := newWorld(t, 0, engine(&seen))
+	is.Equal(w.call(t, "POST", "/chat/1", "in1;", "Id", "t1", "Key", "k", "Program", "p").status, http.StatusOK)
+	is.Equal(w.call(t, "POST", "/chat/1", "in2;", "Id", "t2", "Key", "k", "Program", "p", "Previous", "t1").status, http.StatusOK)
+	is.Equal(seen, []string{"in1;", "in1;one\ntwo\nin2;"})
+	// Another program may continue the turn; its history goes along.
+	is.Equal(w.call(t, "POST", "/chat/1", "in3;", "Id", "t3", "Key", "k", "Program", "q", "Previous", "t1").status, http.StatusOK)
+	is.Equal(w.call(t, "POST", "/chat/1", "in4;", "Id", "t4", "Key", "k", "Program", "q", "Previous", "t3").status, http.StatusOK)
+	is.Equal(seen[3], "in1;one\ntwo\nin3;one\ntwo\nin4;")
+	is.Equal(w.call(t, "POST", "/chat/1", "x", "Id", "t5", "Key", "k", "Program", "q", "Previous", "none").status, http.StatusNotFound)
+	is.Equal(len(seen), 4)
+}
+
+// TestUnkeptTurnDoesNotLookWhole guards against an answer that looks whole although its
+// turn is lost with the host.
+func TestUnkeptTurnDoesNotLookWhole(t *testing.T) {
+	is := is.New(t)
+	var seen []string
+	w := newWorld(t, 0, engine(&seen))
+	is.Equal(w.call(t, "POST", "/chat/1", "in1;", "Id", "t1", "Key", "k", "Program", "p").status, http.StatusOK)
+	w.log.SetFault(func(call string, _ storelog.Partition) (error, bool) {
+		if call == "append" {
+			return storelog.ErrUnavailable, false
+		}
+		return nil, false
+	})
+	cut := w.call(t, "POST", "/chat/1", "in2;", "Id", "t2", "Key", "k", "Program", "p", "Previous", "t1", "Patience", "400")
+	is.True(!cut.whole)
+	w.log.SetFault(nil)
+	is.Equal(w.call(t, "POST", "/chat/1", "in3;", "Id", "t3", "Key", "k", "Program", "p", "Previous", "t1").status, http.StatusOK)
+}
--- /dev/null
+++ b/internal/gateway/world_test.go
@@ -0,0 +1,116 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/forward"
+	"cowslipgw/internal/gateway"
+	"cowslipgw/internal/peers"
+	"cowslipgw/internal/quota"
+	"cowslipgw/internal/replica"
+	"cowslipgw/internal/route"
+	"cowslipgw/internal/storelog"
+	"cowslipgw/internal/turns"
+)
+
+// codec is a gateway.Codec with headers of its own.
+type codec struct{}
+
+func (codec) Decode(r *http.Request) (*gateway.Call, error) {
+	h := gateway.EndToEnd(r.Header)
+	call := &gateway.Call{ID: h.Get("Id"), Key: h.Get("Key"), Method: r.Method, URI: r.RequestURI, Path: r.URL.Path,
+		Host: "h", Header: h, HasBody: r.Method == http.MethodPost, Program: h.Get("Program"), Previous: h.Get("Previous"), MaxTokens: 10}
+	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
+		call.Patience = time.Duration(ms) * time.Millisecond
+	}
+	h.Del("Key")
+	return call, nil
+}
+
+func (codec) Encode(h http.Header, a gateway.Attempt) { h.Set("Account", a.Account) }
+
+func (codec) Answer(h http.Header) gateway.AnswerInfo {
+	return gateway.AnswerInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// source is a gateway.ConfigSource that can fail.
+type source struct {
+	table *route.Table
+	down  atomic.Bool
+}
+
+func (s *source) Config(ctx context.Context, wait time.Duration) (*route.Table, error) {
+	if s.down.Load() {
+		return nil, storelog.ErrUnavailable
+	}
+	select {
+	case <-time.After(min(wait, 20*time.Millisecond)):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return s.table, nil
+}
+
+// alone is a table of hosts with one host only.
+type alone struct{}
+
+func (alone) Self() peers.Host                          { return peers.Host{ID: "self"} }
+func (alone) Candidates(uint64, int) []peers.Host       { return []peers.Host{{ID: "self"}} }
+func (alone) counts() (int, int)                        { return 1, 1 }
+func (alone) StoreElsewhere() bool                      { return false }
+func (alone) Copy(context.Context, turns.CopyArgs) bool { return false }
+
+// world is a gateway before upstreams that run in the test.
+type world struct {
+	entry    *httptest.Server
+	log      *storelog.Memory
+	source   *source
+	replicas *replica.Set
+}
+
+// newWorld returns a gateway whose service s has the upstreams given. Freshness is how
+// long keys may be used without confirmation.
+func newWorld(t *testing.T, freshness time.Duration, upstreams ...http.HandlerFunc) *world {
+	t.Helper()
+	events := event.Discard()
+	share := []route.Share{{Service: "s", Weight: 1}}
+	make := func(name string, kind route.Kind, attempts int) *route.Route {
+		return &route.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Shares: share, Timeout: 2 * time.Second,
+			Target: 50 * time.Millisecond, MaxAttempts: attempts}
+	}
+	chat := make("chat", route.Streaming, 1)
+	chat.KeepsTurns, chat.TurnRetention = true, time.Minute
+	table := route.NewTable(1, []*route.Route{make("safe", route.Safe, 3), make("unsafe", route.Unsafe, 3), chat},
+		[]*route.Service{{Name: "s"}}, []*route.Account{{Name: "acme", Keys: []string{"k"}}}, route.Limits{BodyBytes: 1000}, true)
+	w := &world{log: storelog.NewMemory(), source: &source{table: table}, replicas: replica.NewSet("z", events)}
+	for n, handler := range upstreams {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		w.replicas.Put(replica.Record{ID: "r" + strconv.Itoa(n), Service: "s", Addr: strings.TrimPrefix(server.URL, "http://"), Zone: "z", Slots: 8})
+	}
+	one := func() int { return 1 }
+	limiter := quota.NewLimiter(5*time.Second, alone{}.counts)
+	config := gateway.NewConfig(w.source, freshness, one, limiter.Configure, events)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go config.Run(ctx)
+	client := turns.NewClient(alone{}, nil)
+	client.SetHome(turns.NewHome(w.log, alone{}, 8, events))
+	g := gateway.New(gateway.Parts{Codec: codec{}, Config: config, Quota: quota.NewClient(alone{}, nil, limiter),
+		Costs: quota.NewCosts(), Replicas: w.replicas, Pool: forward.NewPool(), Turns: client, Events: events,
+		StoreElsewhere: alone{}.StoreElsewhere})
+	w.entry = httptest.NewServer(g)
+	t.Cleanup(w.entry.Close)
+	for config.Table() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return w
+}
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -21,6 +21,8 @@
 	queueCost = 1.5
 	// suspectCost is the cost of a replica that owes a first byte for too long.
 	suspectCost = 4
+	// failureCost is the cost of a replica that fails every request.
+	failureCost = 2
 	// coldCost is the cost of a replica that has just started.
 	coldCost = 0.5
 	// jitter spreads hosts with the same view over replicas of the same score.
@@ -99,7 +101,7 @@
 	if r.oldestSilent(now) > limit {
 		score += suspectCost
 	}
-	score += 2 * r.failures
+	score += failureCost * r.failing(now)
 	if r.record.ID == q.Prefer {
 		score -= q.Gain
 	}
--- /dev/null
+++ b/internal/replica/choose_test.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cowslipgw/internal/event"
+)
+
+// newTestSet returns a set of count ready replicas of service s, half of them in zone z.
+func newTestSet(count int) *Set {
+	s := NewSet("z", event.Discard())
+	for n := range count {
+		zone := "z"
+		if n%2 == 1 {
+			zone = "y"
+		}
+		s.Put(Record{ID: strconv.Itoa(n), Service: "s", Addr: "10.0.0.1:" + strconv.Itoa(n), Zone: zone, Slots: 8, Born: 1})
+	}
+	return s
+}
+
+// share plays count requests of a class one after the other and returns how many each
+// replica got. Took returns the time of a request at a replica and its result.
+func share(s *Set, count int, took func(id string) (time.Duration, Result)) map[string]int {
+	got := make(map[string]int)
+	for range count {
+		lease := s.Choose(Query{Service: "s", Class: "c"})
+		id := lease.Record().ID
+		got[id]++
+		d, result := took(id)
+		time.Sleep(d)
+		if result == Answered {
+			lease.FirstByte()
+		}
+		lease.Done(result, 1)
+	}
+	return got
+}
+
+// TestSlowReplicaIsLeft answers replicas that turn slow: requests that go to all alike
+// wait at the slow one.
+func TestSlowReplicaIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		got := share(newTestSet(4), 400, func(id string) (time.Duration, Result) {
+			if id == "0" {
+				return 100 * time.Millisecond, Answered
+			}
+			return 20 * time.Millisecond, Answered
+		})
+		is.True(got["0"] < 40) // an even share is 100
+	})
+}
+
+// TestFailingReplicaIsLeft answers replicas that fail requests although their record is
+// good.
+func TestFailingReplicaIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		got := share(newTestSet(4), 400, func(id string) (time.Duration, Result) {
+			if id == "2" {
+				return time.Millisecond, Broken
+			}
+			return 20 * time.Millisecond, Answered
+		})
+		is.True(got["2"] < 40)
+	})
+}
+
+// TestReplicaIsTriedAgain guards against a replica that is left for ever after a short
+// fault.
+func TestReplicaIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSet(2)
+		failing := true
+		took := func(id string) (time.Duration, Result) {
+			if id == "0" && failing {
+				return time.Millisecond, Unreachable
+			}
+			return 20 * time.Millisecond, Answered
+		}
+		share(s, 50, took)
+		failing = false
+		time.Sleep(condemnMax)
+		got := share(s, 400, took)
+		is.True(got["0"] > 50)
+	})
+}
+
+// TestSilentReplicaIsLeft answers replicas that fall silent with requests under way:
+// until the first of them fails, nothing else shows it.
+func TestSilentReplicaIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSet(4)
+		silent := s.Choose(Query{Service: "s", Class: "c"})
+		time.Sleep(2 * silentLimit)
+		got := share(s, 100, func(string) (time.Duration, Result) { return time.Millisecond, Answered })
+		is.Equal(got[silent.Record().ID], 0)
+		silent.Done(Broken, 1)
+	})
+}
+
+// TestDrainingAndGoneReplicas guards against new work for a replica that leaves, and
+// against dropping replicas whose records lapsed while the store was away.
+func TestDrainingAndGoneReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSet(2)
+		s.Put(Record{ID: "0", Service: "s", Addr: "10.0.0.1:0", Zone: "z", Slots: 8, Born: 1, Draining: true})
+		for range 20 {
+			is.Equal(s.Choose(Query{Service: "s"}).Record().ID, "1")
+		}
+		s.Remove("1", 2*time.Second)
+		is.Equal(s.Choose(Query{Service: "s"}).Record().ID, "1")
+		time.Sleep(3 * time.Second)
+		s.Sweep()
+		is.Equal(s.Choose(Query{Service: "s"}), nil)
+	})
+}
+
+// TestLoadSpreads guards against a herd to one replica while others are free.
+func TestLoadSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSet(4)
+		got := make(map[string]int)
+		for range 32 {
+			got[s.Choose(Query{Service: "s", Class: "c"}).Record().ID]++
+		}
+		for _, n := range got {
+			is.True(n <= 12) // 8 slots each
+		}
+		is.Equal(len(got), 4)
+	})
+}
+
+// TestPrefixIsFollowed guards against a program whose turns are read in again at another
+// replica although the one before is free.
+func TestPrefixIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSet(4)
+		for range 20 {
+			lease := s.Choose(Query{Service: "s", Class: "c", Prefer: "3", Gain: 0.5})
+			is.Equal(lease.Record().ID, "3")
+			lease.Done(Answered, 1)
+		}
+	})
+}
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -68,7 +68,7 @@
 	now := time.Now()
 	switch result {
 	case Answered:
-		r.succeeded()
+		r.succeeded(now)
 		r.sample(l.set.usualLocked(l.class).ratio(now.Sub(l.start)/time.Duration(max(units, 1))), now)
 	case Broken, Unreachable:
 		if r.failed(result == Unreachable, now) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"time"
 )
 
@@ -11,6 +12,8 @@
 	slownessLimit = 8
 	// slownessHalfLife lets a slow replica be tried again after it got no work.
 	slownessHalfLife = 3 * time.Second
+	// failuresHalfLife lets a replica that failed be tried again after it got no work.
+	failuresHalfLife = 2 * time.Second
 	// failureGain is the weight of a new result in the average of failures.
 	failureGain = 0.2
 	// condemnFailures is the share of failed requests from which a replica gets no work.
@@ -35,6 +38,7 @@
 	slowness     float64
 	slownessAt   time.Time
 	failures     float64
+	failuresAt   time.Time
 	condemned    time.Time
 	condemnPause time.Duration
 	// removeAt is when a replica without a record is dropped; zero while it has one.
@@ -83,7 +87,8 @@
 // failed enters a failure. Unreachable replicas are condemned at once. It reports
 // whether the replica was condemned by it.
 func (r *Replica) failed(unreachable bool, now time.Time) bool {
-	r.failures += failureGain * (1 - r.failures)
+	r.failures = r.failing(now) + failureGain*(1-r.failing(now))
+	r.failuresAt = now
 	if !unreachable && r.failures < condemnFailures {
 		return false
 	}
@@ -93,8 +98,14 @@
 	return fresh
 }
 
+// failing returns the present share of failed requests.
+func (r *Replica) failing(now time.Time) float64 {
+	return r.failures * math.Exp2(-float64(now.Sub(r.failuresAt))/float64(failuresHalfLife))
+}
+
 // succeeded enters a success.
-func (r *Replica) succeeded() {
-	r.failures -= failureGain * r.failures
+func (r *Replica) succeeded(now time.Time) {
+	r.failures = r.failing(now) * (1 - failureGain)
+	r.failuresAt = now
 	r.condemnPause = 0
 }
