--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -216,8 +216,8 @@
 )
 
 // Candidates returns up to limit hosts that may be the home of key, the best first.
-// The order is a rendezvous hash among the live hosts, then among the leaving ones and
-// those that do not reach the store, so that most hosts agree on the first.
+// The order is a rendezvous hash among the live hosts, then among the leaving ones and,
+// in a partial outage of the store, those that do not reach it.
 func (t *Table) Candidates(key uint64, limit int) []Host {
 	type candidate struct {
 		host   Host
@@ -227,10 +227,11 @@
 	storeLost := !t.storeHealthy()
 	t.mu.Lock()
 	now, timeout := boottime.Now(), t.timeoutLocked()
+	partial := t.partialOutageLocked(now, timeout, storeLost)
 	list := make([]candidate, 0, len(t.members)+1)
 	self := candidate{host: t.self, weight: weight(key, t.self.ID)}
 	switch {
-	case storeLost:
+	case storeLost && partial:
 		self.rank = rankStoreLost
 	case t.leaving:
 		self.rank = rankLeaving
@@ -241,7 +242,7 @@
 		switch {
 		case !m.alive(now, timeout):
 			c.rank = rankSilent
-		case m.storeLost:
+		case m.storeLost && partial:
 			c.rank = rankStoreLost
 		case m.leaving:
 			c.rank = rankLeaving
@@ -265,6 +266,25 @@
 	return hosts
 }
 
+// partialOutageLocked reports whether at least half of the live hosts reach the store.
+// When fewer do, homes stay: the store is down or comes back, which hosts notice one
+// after the other, and each move would read partitions anew.
+func (t *Table) partialOutageLocked(now boottime.Instant, timeout int64, selfLost bool) bool {
+	reach, alive := 0, 1
+	if !selfLost {
+		reach = 1
+	}
+	for _, m := range t.members {
+		if m.alive(now, timeout) {
+			alive++
+			if !m.storeLost {
+				reach++
+			}
+		}
+	}
+	return 2*reach >= alive
+}
+
 // weight is the rendezvous weight of a host for a key.
 func weight(key uint64, id string) uint64 {
 	x := xxhash.Sum64String(id) ^ key*0x9e3779b97f4a7c15
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -87,46 +87,67 @@
 }
 
 func (c *Client) begin(ctx context.Context, args BeginArgs) BeginReply {
-	for _, h := range c.hosts.Candidates(partitionKey(PartitionOf(args.Account, args.Program)), maxCandidates) {
-		attempt, cancel := context.WithTimeout(ctx, homeTimeout)
-		reply := BeginReply{}
+	reply := BeginReply{Outcome: Unavailable}
+	c.ask(ctx, PartitionOf(args.Account, args.Program), func(ctx context.Context, h peers.Host) (bool, error) {
+		reply = BeginReply{}
 		var err error
 		if h.ID == c.hosts.Self().ID {
-			reply = c.home.Begin(attempt, args)
+			reply = c.home.Begin(ctx, args)
 		} else {
-			err = c.caller.Call(attempt, h, ServiceName+".Begin", args, &reply)
-		}
-		cancel()
-		if err == nil && reply.Outcome != Unavailable {
-			return reply
-		}
-		if ctx.Err() != nil {
-			break
+			err = c.caller.Call(ctx, h, ServiceName+".Begin", args, &reply)
 		}
-	}
-	return BeginReply{Outcome: Unavailable}
+		return reply.Outcome != Unavailable, err
+	})
+	return reply
 }
 
 // End settles a turn at one of its homes. It reports whether the turn is kept.
 func (c *Client) End(ctx context.Context, t Turn) bool {
-	for _, h := range c.hosts.Candidates(partitionKey(PartitionOf(t.Account, t.Program)), maxCandidates) {
-		attempt, cancel := context.WithTimeout(ctx, homeTimeout)
-		reply := EndReply{}
+	reply := EndReply{}
+	c.ask(ctx, PartitionOf(t.Account, t.Program), func(ctx context.Context, h peers.Host) (bool, error) {
+		reply = EndReply{}
 		var err error
 		if h.ID == c.hosts.Self().ID {
-			reply.Kept = c.home.End(attempt, t)
+			reply.Kept = c.home.End(ctx, t)
 		} else {
-			err = c.caller.Call(attempt, h, ServiceName+".End", EndArgs{Turn: t}, &reply)
+			err = c.caller.Call(ctx, h, ServiceName+".End", EndArgs{Turn: t}, &reply)
 		}
+		return reply.Kept, err
+	})
+	return reply.Kept
+}
+
+// ask calls the homes of a partition in turn until one decides. A home that answers,
+// cannot decide and is still the first candidate is not passed over: it is about to read
+// the partition, and others would only read it, too.
+func (c *Client) ask(ctx context.Context, partition int, call func(context.Context, peers.Host) (decided bool, err error)) {
+	tried := make(map[string]bool)
+	for len(tried) < maxCandidates && ctx.Err() == nil {
+		next := c.nextCandidate(partition, tried)
+		if next == nil {
+			return
+		}
+		tried[next.ID] = true
+		attempt, cancel := context.WithTimeout(ctx, homeTimeout)
+		decided, err := call(attempt, *next)
 		cancel()
-		if err == nil && reply.Kept {
-			return true
+		if decided && err == nil {
+			return
 		}
-		if ctx.Err() != nil {
-			break
+		if first := c.hosts.Candidates(partitionKey(partition), 1); err == nil && len(first) > 0 && first[0].ID == next.ID {
+			return
 		}
 	}
-	return false
+}
+
+// nextCandidate returns the best candidate that was not tried, or nil.
+func (c *Client) nextCandidate(partition int, tried map[string]bool) *peers.Host {
+	for _, h := range c.hosts.Candidates(partitionKey(partition), maxCandidates+len(tried)) {
+		if !tried[h.ID] {
+			return &h
+		}
+	}
+	return nil
 }
 
 // locate asks all live hosts for a turn. Outcome is UnknownParent only if hosts that
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -15,7 +15,12 @@
 	// append takes a few milliseconds when the store is well.
 	copyDelay = 40 * time.Millisecond
 	// loadTimeout limits the load of a partition.
-	loadTimeout = 4 * time.Second
+	loadTimeout = 15 * time.Second
+	// loadPause is the pause after a load that failed.
+	loadPause = 200 * time.Millisecond
+	// maxLoads is the number of partitions that a host loads at once. After the loss of
+	// all hosts, more would only share the store's bandwidth.
+	maxLoads = 2
 	// appendTimeout limits one append.
 	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the pause before an append is repeated.
@@ -44,11 +49,13 @@
 	copier Copier
 	events *event.Logger
 	parts  [Partitions]*partition
+	// loads holds a token for each load under way.
+	loads chan struct{}
 }
 
 // NewHome returns a home whose topics have partsPerTopic partitions each.
 func NewHome(log storelog.Log, copier Copier, partsPerTopic int, events *event.Logger) *Home {
-	h := &Home{log: log, copier: copier, events: events}
+	h := &Home{log: log, copier: copier, events: events, loads: make(chan struct{}, maxLoads)}
 	writer := rand.Int64()
 	for id := range h.parts {
 		h.parts[id] = newPartition(id, partsPerTopic, writer)
@@ -251,26 +258,53 @@
 	return true
 }
 
-// ensureLoaded loads the partition unless it is loaded, and takes up copies that were
-// kept for another home.
+// ensureLoaded waits until the partition is loaded, and takes up copies that were kept
+// for another home. The load itself goes on when ctx ends: callers give up sooner than a
+// large partition is read, and each would begin anew.
 func (h *Home) ensureLoaded(ctx context.Context, p *partition) bool {
 	p.mu.Lock()
 	loaded := p.loaded
 	copies := len(p.copies)
 	p.mu.Unlock()
-	if loaded && copies == 0 {
-		return true
-	}
 	if !loaded {
-		p.loading.Lock()
-		defer p.loading.Unlock()
-		if err := h.load(ctx, p); err != nil {
-			h.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error()})
-			return false
+		select {
+		case <-h.startLoad(p):
+		case <-ctx.Done():
 		}
+		p.mu.Lock()
+		loaded = p.loaded
+		p.mu.Unlock()
 	}
-	h.takeCopies(p)
-	return true
+	if loaded && copies > 0 {
+		h.takeCopies(p)
+	}
+	return loaded
+}
+
+// startLoad starts the load of a partition unless one is under way. The channel is
+// closed at its end.
+func (h *Home) startLoad(p *partition) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.loadEnd != nil {
+		return p.loadEnd
+	}
+	end := make(chan struct{})
+	p.loadEnd = end
+	go func() {
+		h.loads <- struct{}{}
+		err := h.load(p)
+		<-h.loads
+		if err != nil {
+			h.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error()})
+			time.Sleep(loadPause)
+		}
+		p.mu.Lock()
+		p.loadEnd = nil
+		p.mu.Unlock()
+		close(end)
+	}()
+	return end
 }
 
 // takeCopies makes changes of this host of the copies that the store may lack.
@@ -285,15 +319,11 @@
 	}
 }
 
-// load reads the whole partition. The caller holds p.loading.
-func (h *Home) load(ctx context.Context, p *partition) error {
-	p.mu.Lock()
-	loaded := p.loaded
-	p.mu.Unlock()
-	if loaded {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+// load reads the whole partition.
+func (h *Home) load(p *partition) error {
+	p.loading.Lock()
+	defer p.loading.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
 	end, err := storelog.Load(ctx, h.log, p.where, func(r storelog.Record) { h.apply(p, r) })
 	if err != nil {
--- a/internal/turns/home_test.go
+++ b/internal/turns/home_test.go
@@ -220,3 +220,27 @@
 	fresh := newHome(log, nil)
 	is.Equal(begin(t, fresh, "t3", "t1", 0).Outcome, turns.Granted)
 }
+
+// TestLoadOutlivesItsCallers answers the start of a large fleet, when reads of the store
+// are slow: callers that give up must not make the load begin anew each time.
+func TestLoadOutlivesItsCallers(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	is.True(newHome(log, nil).End(deadline(t, time.Second), ended("t1", "", 10)))
+	loads := make(chan struct{}, 100)
+	log.SetFault(func(call string, _ storelog.Partition) (error, bool) {
+		if call == "newest" {
+			loads <- struct{}{}
+			time.Sleep(300 * time.Millisecond)
+		}
+		return nil, false
+	})
+	slow := newHome(log, nil)
+	args := turns.BeginArgs{Account: "a", Program: "p", Turn: "t2", Parent: "t1", MaxTokens: 100}
+	for range 3 {
+		is.Equal(slow.Begin(deadline(t, 50*time.Millisecond), args).Outcome, turns.Unavailable)
+	}
+	time.Sleep(400 * time.Millisecond)
+	is.Equal(slow.Begin(deadline(t, 50*time.Millisecond), args).Outcome, turns.Granted)
+	is.Equal(len(loads), 1)
+}
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -27,6 +27,8 @@
 	loading sync.Mutex
 
 	mu sync.Mutex
+	// loadEnd is closed at the end of the load under way; nil if there is none.
+	loadEnd chan struct{}
 	// loaded says that turns hold all records up to end.
 	loaded   bool
 	end      int64
