Keep replicas over two outages in a row, and serve only once they are known

A second outage also let the time run in which lapsed records may come back. Ruled out: quota and homes (no such refusals).

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -200,7 +200,7 @@
 
 // ready reports whether callers may be sent here.
 func (p *gatewayProcess) ready() bool {
-	return p.config.Fresh() && !p.gateway.Leaving()
+	return p.config.Fresh() && p.discovery.Loaded() && !p.gateway.Leaving()
 }
 
 // entries returns the addresses for callers of a zone.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"cowslipgw/internal/boottime"
@@ -37,6 +38,7 @@
 	source ReplicaSource
 	set    *replica.Set
 	hosts  func() int
+	loaded atomic.Bool
 }
 
 // NewDiscovery returns a follower that fills set. Hosts returns the number of hosts
@@ -53,7 +55,9 @@
 		changes, err := d.source.Replicas(ctx)
 		if err != nil {
 			failed = boottime.Now()
+			d.set.Postpone(returnTime)
 		} else {
+			d.loaded.Store(true)
 			d.apply(changes, max(returnTime-boottime.Since(failed), 0))
 		}
 		d.set.Sweep()
@@ -64,6 +68,9 @@
 	}
 }
 
+// Loaded reports whether the records were read at least once.
+func (d *Discovery) Loaded() bool { return d.loaded.Load() }
+
 func (d *Discovery) apply(changes ReplicaChanges, grace time.Duration) {
 	for _, id := range changes.Removed {
 		d.set.Remove(id, grace)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -102,6 +102,19 @@
 	s.events.Log(event.ReplicaCondemned, event.Fields{"replica": r.ID, "service": r.Service, "pause_ms": pause.Milliseconds()})
 }
 
+// Postpone gives the replicas that wait for their removal the time anew: their records
+// cannot come back while the store is away.
+func (s *Set) Postpone(grace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := time.Now().Add(grace)
+	for _, r := range s.byID {
+		if !r.removeAt.IsZero() {
+			r.removeAt = until
+		}
+	}
+}
+
 // Sweep drops the replicas whose time without a record is over.
 func (s *Set) Sweep() {
 	s.mu.Lock()
