Grant by copies only from a state that the store confirmed lately

Cause: in an outage of the store a home whose state was old could still reserve tokens by copies at other hosts, while another home had granted since. Test: TestStaleHomeDoesNotGrant (granted before the change).

--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -14,6 +14,10 @@
 	// copyDelay is how long a change waits for the store before other hosts copy it. An
 	// append takes a few milliseconds when the store is well.
 	copyDelay = 40 * time.Millisecond
+	// maxUnverified is how long after the store's last confirmation copies are enough for
+	// a reservation. Another home may have granted meanwhile, so an older state may not
+	// grant without the store; keys are usable for little longer.
+	maxUnverified = 4 * time.Second
 	// loadTimeout limits the load of a partition.
 	loadTimeout = 15 * time.Second
 	// loadPause is the pause after a load that failed.
@@ -181,6 +185,17 @@
 		p.troubled = true
 		p.mu.Unlock()
 	}
+	p.mu.Lock()
+	unverified := time.Since(p.verified)
+	p.mu.Unlock()
+	if unverified > maxUnverified {
+		select {
+		case <-c.done:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
 	copied := make(chan bool, 1)
 	go func() { copied <- h.copier.Copy(ctx, CopyArgs{Partition: p.id, Turns: []Turn{c.turn}}) }()
 	for {
@@ -330,7 +345,7 @@
 		return err
 	}
 	p.mu.Lock()
-	p.loaded, p.end = true, end
+	p.loaded, p.end, p.verified = true, end, time.Now()
 	count := len(p.turns)
 	p.mu.Unlock()
 	h.events.Log(event.TurnsLoaded, event.Fields{"partition": p.id, "turns": count, "end": end})
@@ -360,7 +375,7 @@
 		return err
 	}
 	p.mu.Lock()
-	p.end = max(p.end, end)
+	p.end, p.verified = max(p.end, end), time.Now()
 	p.mu.Unlock()
 	return nil
 }
--- a/internal/turns/home_test.go
+++ b/internal/turns/home_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -244,3 +245,22 @@
 	is.Equal(slow.Begin(deadline(t, 50*time.Millisecond), args).Outcome, turns.Granted)
 	is.Equal(len(loads), 1)
 }
+
+// TestStaleHomeDoesNotGrant guards against a budget that is exceeded in an outage of the
+// store by a home whose state is old: others may have granted since.
+func TestStaleHomeDoesNotGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := storelog.NewMemory()
+		backup := newHome(log, nil)
+		first := newHome(log, backup)
+		is.Equal(begin(t, first, "t0", "", 10_000).Outcome, turns.Granted)
+		is.Equal(begin(t, first, "t1", "", 10_000).Outcome, turns.Granted) // ahead
+		time.Sleep(5 * time.Second)
+		log.SetFault(down)
+		is.Equal(begin(t, first, "t2", "", 10_000).Outcome, turns.Unavailable)
+		log.SetFault(nil)
+		time.Sleep(time.Second)
+		is.Equal(begin(t, first, "t3", "", 10_000).Outcome, turns.Granted)
+	})
+}
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -30,8 +30,10 @@
 	// loadEnd is closed at the end of the load under way; nil if there is none.
 	loadEnd chan struct{}
 	// loaded says that turns hold all records up to end.
-	loaded   bool
-	end      int64
+	loaded bool
+	end    int64
+	// verified is when the store last confirmed that the partition ends at end.
+	verified time.Time
 	turns    map[string]*Turn
 	programs map[programKey]*program
 	// unsaved changes are appended in their order.
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -99,7 +99,7 @@
 func (p *partition) saved(batch []*change, end int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.end = max(p.end, end)
+	p.end, p.verified = max(p.end, end), time.Now()
 	p.troubled = false
 	p.unsaved = p.unsaved[len(batch):]
 	for _, c := range batch {
