--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -19,6 +19,8 @@
 	configWaitMax = 1500 * time.Millisecond
 	// configPause is the pause after a failed read.
 	configPause = 100 * time.Millisecond
+	// probeTimeout limits a read of a store that was lost; a slow one answers in less.
+	probeTimeout = 500 * time.Millisecond
 	// confirmAge is the age up to which a confirmation is taken for present when a
 	// request is about to be denied.
 	confirmAge = 300 * time.Millisecond
@@ -93,15 +95,27 @@
 // Run follows the configuration until ctx ends.
 func (c *Config) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !c.read(ctx, pace(configWait, configWaitMax, c.hosts())) {
-			select {
-			case <-time.After(configPause):
-			case <-ctx.Done():
-			}
+		if c.Lost() && c.probe(ctx) {
+			continue
+		}
+		if !c.Lost() && c.read(ctx, pace(configWait, configWaitMax, c.hosts())) {
+			continue
+		}
+		select {
+		case <-time.After(configPause):
+		case <-ctx.Done():
 		}
 	}
 }
 
+// probe performs one read that does not wait for a change, so that the return of a
+// silent store is noticed soon.
+func (c *Config) probe(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return c.read(ctx, 0)
+}
+
 // read performs one read. Reads are serialized.
 func (c *Config) read(ctx context.Context, wait time.Duration) bool {
 	c.reading.Lock()
