--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -16,27 +16,16 @@
 
 var ownerUnreachable = metrics.NewCounter("cowslipgw_quota_owner_unreachable_total")
 
-// Hosts is what the client needs of the table of hosts.
-type Hosts interface {
-	Self() peers.Host
-	Candidates(key uint64, limit int) []peers.Host
-}
-
-// Caller calls other hosts.
-type Caller interface {
-	Call(ctx context.Context, h peers.Host, method string, args, reply any) error
-}
-
 // Client admits requests at the owners of the accounts' buckets, and within this
 // host's own share of a bucket while its owner cannot be reached.
 type Client struct {
-	hosts   Hosts
-	caller  Caller
+	hosts   peers.Hosts
+	caller  peers.Calls
 	limiter *Limiter
 }
 
 // NewClient returns a client. Limiter holds the buckets of this host.
-func NewClient(hosts Hosts, caller Caller, limiter *Limiter) *Client {
+func NewClient(hosts peers.Hosts, caller peers.Calls, limiter *Limiter) *Client {
 	return &Client{hosts: hosts, caller: caller, limiter: limiter}
 }
 
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -23,26 +23,15 @@
 	wantedCopies = 2
 )
 
-// Hosts is what the client needs of the table of hosts.
-type Hosts interface {
-	Self() peers.Host
-	Candidates(key uint64, limit int) []peers.Host
-}
-
-// Caller calls other hosts.
-type Caller interface {
-	Call(ctx context.Context, h peers.Host, method string, args, reply any) error
-}
-
 // Client reaches the homes of programs. It implements Copier.
 type Client struct {
-	hosts  Hosts
-	caller Caller
+	hosts  peers.Hosts
+	caller peers.Calls
 	home   *Home
 }
 
 // NewClient returns a client. SetHome must be called before its first use.
-func NewClient(hosts Hosts, caller Caller) *Client {
+func NewClient(hosts peers.Hosts, caller peers.Calls) *Client {
 	return &Client{hosts: hosts, caller: caller}
 }
 
