--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -25,5 +25,5 @@
 	TurnEndFailed     = define(1735, logrus.ErrorLevel, "turn could not be kept")
 	SettingsReloaded  = define(1740, logrus.InfoLevel, "settings file read again")
 	SettingsInvalid   = define(1741, logrus.ErrorLevel, "settings file is invalid and was ignored")
-	ReplicaCondemned  = define(1743, logrus.WarnLevel, "replica gets no work for a while")
+	ReplicaEjected    = define(1743, logrus.WarnLevel, "replica gets no work for a while")
 )
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -54,7 +54,7 @@
 			continue
 		}
 		score := s.score(r, q, now)
-		if now.Before(r.condemned) {
+		if now.Before(r.ejectedUntil) {
 			if fallback == nil || score < fallbackScore {
 				fallback, fallbackScore = r, score
 			}
--- a/internal/replica/choose_test.go
+++ b/internal/replica/choose_test.go
@@ -87,7 +87,7 @@
 		}
 		share(s, 50, took)
 		failing = false
-		time.Sleep(condemnMax)
+		time.Sleep(ejectMax)
 		got := share(s, 400, took)
 		is.True(got["0"] > 50)
 	})
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -72,7 +72,7 @@
 		r.sample(l.set.usualLocked(l.class).ratio(now.Sub(l.start)/time.Duration(max(units, 1))), now)
 	case Broken, Unreachable:
 		if r.failed(result == Unreachable, now) {
-			l.set.condemned(r.record, r.condemnPause)
+			l.set.ejected(r.record, r.ejectPause)
 		}
 	case Abandoned:
 		if wasSilent {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,12 +16,12 @@
 	failuresHalfLife = 2 * time.Second
 	// failureGain is the weight of a new result in the average of failures.
 	failureGain = 0.2
-	// condemnFailures is the share of failed requests from which a replica gets no work.
-	condemnFailures = 0.45
-	// condemnTime is how long a replica gets no work after it was unreachable or failed
-	// too often; it doubles up to condemnMax.
-	condemnTime = 400 * time.Millisecond
-	condemnMax  = 3 * time.Second
+	// ejectFailures is the share of failed requests from which a replica gets no work.
+	ejectFailures = 0.45
+	// ejectTime is how long a replica gets no work after it was unreachable or failed
+	// too often; it doubles up to ejectMax.
+	ejectTime = 400 * time.Millisecond
+	ejectMax  = 3 * time.Second
 )
 
 // Replica is a replica with what this host has seen of it. The set's lock guards it.
@@ -32,15 +32,16 @@
 	inflight int
 	silent   map[*Lease]struct{}
 	// reported is the load of the last answer and the attempts of this host in it.
-	reported     Load
-	reportedOwn  int
-	reportedAt   time.Time
-	slowness     float64
-	slownessAt   time.Time
-	failures     float64
-	failuresAt   time.Time
-	condemned    time.Time
-	condemnPause time.Duration
+	reported    Load
+	reportedOwn int
+	reportedAt  time.Time
+	slowness    float64
+	slownessAt  time.Time
+	failures    float64
+	failuresAt  time.Time
+	// ejectedUntil is when the replica gets work again.
+	ejectedUntil time.Time
+	ejectPause   time.Duration
 	// removeAt is when a replica without a record is dropped; zero while it has one.
 	removeAt time.Time
 }
@@ -84,17 +85,17 @@
 	r.slownessAt = now
 }
 
-// failed enters a failure. Unreachable replicas are condemned at once. It reports
-// whether the replica was condemned by it.
+// failed enters a failure. Unreachable replicas are ejected at once. It reports
+// whether the replica was ejected by it.
 func (r *Replica) failed(unreachable bool, now time.Time) bool {
 	r.failures = r.failing(now) + failureGain*(1-r.failing(now))
 	r.failuresAt = now
-	if !unreachable && r.failures < condemnFailures {
+	if !unreachable && r.failures < ejectFailures {
 		return false
 	}
-	fresh := now.After(r.condemned)
-	r.condemnPause = min(max(2*r.condemnPause, condemnTime), condemnMax)
-	r.condemned = now.Add(r.condemnPause)
+	fresh := now.After(r.ejectedUntil)
+	r.ejectPause = min(max(2*r.ejectPause, ejectTime), ejectMax)
+	r.ejectedUntil = now.Add(r.ejectPause)
 	return fresh
 }
 
@@ -107,5 +108,5 @@
 func (r *Replica) succeeded(now time.Time) {
 	r.failures = r.failing(now) * (1 - failureGain)
 	r.failuresAt = now
-	r.condemnPause = 0
+	r.ejectPause = 0
 }
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -98,8 +98,8 @@
 	s.events.Log(event.ReplicaChanged, event.Fields{"replica": r.ID, "service": r.Service, "addr": r.Addr, what: value})
 }
 
-func (s *Set) condemned(r Record, pause time.Duration) {
-	s.events.Log(event.ReplicaCondemned, event.Fields{"replica": r.ID, "service": r.Service, "pause_ms": pause.Milliseconds()})
+func (s *Set) ejected(r Record, pause time.Duration) {
+	s.events.Log(event.ReplicaEjected, event.Fields{"replica": r.ID, "service": r.Service, "pause_ms": pause.Milliseconds()})
 }
 
 // Postpone gives the replicas that wait for their removal the time anew: their records
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -11,7 +11,8 @@
 	routes   map[string][]*Route
 	keys     map[string]*Account
 	accounts map[string]*Account
-	closed   bool
+	// keyed says that routes that are not public need a key.
+	keyed bool
 }
 
 // NewTable indexes the parts of a version. Keyed says whether routes that are not
@@ -24,7 +25,7 @@
 		routes:   make(map[string][]*Route),
 		keys:     make(map[string]*Account),
 		accounts: make(map[string]*Account, len(accounts)),
-		closed:   keyed,
+		keyed:    keyed,
 	}
 	for _, r := range routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
@@ -52,11 +53,8 @@
 	return best
 }
 
-// HasHost reports whether any route belongs to host.
-func (t *Table) HasHost(host string) bool { return len(t.routes[host]) > 0 }
-
 // NeedsKey reports whether requests on r need a key.
-func (t *Table) NeedsKey(r *Route) bool { return t.closed && !r.Public }
+func (t *Table) NeedsKey(r *Route) bool { return t.keyed && !r.Public }
 
 // AccountOfKey returns the account that holds key, or nil.
 func (t *Table) AccountOfKey(key string) *Account { return t.keys[key] }
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -47,16 +47,6 @@
 	return len(first) > 0 && first[0].ID == c.hosts.Self().ID
 }
 
-// Near reports whether this host is one of the candidates that are tried.
-func (c *Client) Near(partition int) bool {
-	for _, h := range c.hosts.Candidates(partitionKey(partition), maxCandidates) {
-		if h.ID == c.hosts.Self().ID {
-			return true
-		}
-	}
-	return false
-}
-
 // Begin asks the homes of the program in turn. A turn to continue that its partition
 // does not hold is looked for at all hosts; its chain then comes back in Chain with
 // flattened set, and the caller stores it as part of the turn's input.
--- /dev/null
+++ b/internal/turns/sweep.go
@@ -0,0 +1,74 @@
+package turns
+
+import (
+	"context"
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/storelog"
+)
+
+const (
+	// sweepInterval is how often expired turns and old copies are looked for.
+	sweepInterval = 2 * time.Second
+	// copyAge is the age at which a copy is compared with the store.
+	copyAge = 3 * time.Second
+	// expireBatch is the most turns that one sweep of a partition removes.
+	expireBatch = 200
+)
+
+// Sweep removes expired turns and saves copies whose home has gone, until ctx ends.
+// Owns reports whether this host is the first candidate for a partition.
+func (h *Home) Sweep(ctx context.Context, owns func(partition int) bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sweepInterval):
+		}
+		for _, p := range h.parts {
+			h.sweepPartition(ctx, p, owns)
+		}
+	}
+}
+
+func (h *Home) sweepPartition(ctx context.Context, p *partition, owns func(int) bool) {
+	now := time.Now()
+	p.mu.Lock()
+	old := false
+	for _, kept := range p.copies {
+		old = old || now.Sub(kept.since) > copyAge
+	}
+	var expired []string
+	if p.loaded {
+		expired = p.expiredLocked(now, expireBatch)
+	}
+	p.mu.Unlock()
+	if old && h.ensureSynced(ctx, p) {
+		h.takeCopies(p)
+	}
+	if len(expired) == 0 {
+		return
+	}
+	if !owns(p.id) {
+		p.mu.Lock()
+		for _, id := range expired {
+			p.removeLocked(id)
+		}
+		p.mu.Unlock()
+		return
+	}
+	records := make([]storelog.Record, len(expired))
+	for i, id := range expired {
+		records[i] = storelog.Record{Key: id}
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	// The turns go from memory when the records are read back; a failed append is
+	// repeated by the next sweep.
+	if _, err := h.log.Append(ctx, p.where, storelog.AnyEnd, records); err == nil {
+		if err := h.sync(ctx, p); err != nil {
+			h.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error()})
+		}
+	}
+}
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -11,6 +11,17 @@
 	"cowslipgw/internal/storelog"
 )
 
+const (
+	// appendTimeout limits one append.
+	appendTimeout = 1500 * time.Millisecond
+	// appendPause is the pause before an append is repeated.
+	appendPause = 50 * time.Millisecond
+	// appendPauseMax bounds the pause; it delays answers after the store's return.
+	appendPauseMax = 250 * time.Millisecond
+	// maxBatch bounds the records of one append, in bytes.
+	maxBatch = 1 << 20
+)
+
 // write appends the unsaved changes of a partition until there are none. One write
 // runs for a partition at a time.
 func (h *Home) write(p *partition) {
