Encode a copy of a change, so that its reservation can be copied meanwhile

Cause: the record of a change got its reservation ahead written into the change itself, while a copy of the change was on its way to other hosts in an outage. Ruled out: a wrong decision, since copies do not use the field.

--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -74,8 +74,10 @@
 	for _, c := range p.unsaved {
 		g := p.programLocked(&c.turn)
 		c.ahead = g.nextAhead()
-		c.turn.Ahead, c.turn.Writer = g.inherited+c.ahead, p.writer
-		value, err := cbor.Marshal(c.turn)
+		// The change itself is not written to: copies of it may be on their way.
+		t := c.turn
+		t.Ahead, t.Writer = g.inherited+c.ahead, p.writer
+		value, err := cbor.Marshal(t)
 		if err != nil {
 			panic("turn cannot be encoded: " + err.Error())
 		}
