--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -72,6 +72,12 @@
 	gateway   *gateway.Gateway
 }
 
+// endpoint is a server with the address that it listens on.
+type endpoint struct {
+	server *http.Server
+	addr   string
+}
+
 // newGatewayProcess builds the parts of a host.
 func newGatewayProcess(s platform.Settings, path string, events *event.Logger) (*gatewayProcess, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
@@ -115,10 +121,7 @@
 	defer stop()
 	front := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle}
 	group, failed := errgroup.WithContext(ctx)
-	listeners := []struct {
-		server *http.Server
-		addr   string
-	}{
+	listeners := []endpoint{
 		{front, p.settings.Frontend},
 		{&http.Server{Handler: platform.NewReadiness(p.ready), ReadHeaderTimeout: headerTimeout}, p.settings.Readiness},
 		{&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
@@ -126,10 +129,7 @@
 	}
 	if p.settings.Directory != "" {
 		directory := platform.NewDirectory(p.entries, min(resolveTTL, p.settings.ResolveTTL))
-		listeners = append(listeners, struct {
-			server *http.Server
-			addr   string
-		}{&http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}, p.settings.Directory})
+		listeners = append(listeners, endpoint{&http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}, p.settings.Directory})
 	}
 	if err := p.serveCalls(); err != nil {
 		return err
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -22,6 +22,15 @@
 	Instance string
 }
 
+// size returns the length of the body.
+func (r *Request) size() int {
+	size := 0
+	for _, part := range r.Body {
+		size += len(part)
+	}
+	return size
+}
+
 // head returns the request line and the headers.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
@@ -35,12 +44,8 @@
 	// Writes to a bytes.Buffer do not fail.
 	_ = r.Header.Write(&b)
 	if r.HasBody {
-		size := 0
-		for _, part := range r.Body {
-			size += len(part)
-		}
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(size))
+		b.WriteString(strconv.Itoa(r.size()))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -28,13 +28,8 @@
 	}
 	stop := closeOnDone(ctx, c)
 	written := make(chan error, 1)
-	size := 0
-	for _, part := range r.Body {
-		size += len(part)
-	}
-	if size <= inlineBody {
-		err := write(c, r)
-		written <- err
+	if r.size() <= inlineBody {
+		written <- write(c, r)
 	} else {
 		go func() { written <- write(c, r) }()
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,7 @@
 type attempt struct {
 	lease  *replica.Lease
 	answer *forward.Answer
+	info   AnswerInfo
 	cancel context.CancelFunc
 }
 
@@ -123,7 +124,7 @@
 	if info.Load != nil {
 		lease.Load(*info.Load)
 	}
-	a := &attempt{lease: lease, answer: answer, cancel: func() { cancel(nil) }}
+	a := &attempt{lease: lease, answer: answer, info: info, cancel: func() { cancel(nil) }}
 	if info.NotRun || answer.Status == http.StatusMisdirectedRequest {
 		drain(answer)
 		a.end(replica.Refused, 1)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -54,9 +54,8 @@
 }
 
 // NewConfig returns a follower of source. Freshness is how long keys may be used
-// without confirmation; 0 means for ever.
-// Hosts returns the number of hosts that read the configuration; applied is called with
-// each new version before it is in force.
+// without confirmation; 0 means for ever. Hosts returns the number of hosts that read the
+// configuration; applied is called with each new version before it is in force.
 func NewConfig(source ConfigSource, freshness time.Duration, hosts func() int, applied func(*route.Table), events *event.Logger) *Config {
 	c := &Config{source: source, hosts: hosts, applied: applied, events: events}
 	c.SetFreshness(freshness)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -76,7 +76,7 @@
 
 // readWhole reads an answer and checks that it is one.
 func (x *exchange) readWhole(a *attempt) ([]byte, error) {
-	if !x.g.codec.Answer(a.answer.Header).Signed {
+	if !a.info.Signed {
 		return nil, errUnsigned
 	}
 	if a.answer.Header.Get("Content-Encoding") != "" {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -61,7 +61,7 @@
 		return
 	}
 	t.record.Replica = x.replica
-	if a.answer.Status == http.StatusOK && x.g.codec.Answer(a.answer.Header).Signed {
+	if a.answer.Status == http.StatusOK && a.info.Signed {
 		x.stream(ctx, a, t)
 		return
 	}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -29,7 +29,7 @@
 	return &Client{hosts: hosts, caller: caller, limiter: limiter}
 }
 
-// Admit takes one request off an account's allowance. An account without a rate has no
+// Admit takes one request off an account's quota. An account without a rate has no
 // limit.
 func (c *Client) Admit(ctx context.Context, account *route.Account, version int64, r Request) TakeReply {
 	if account == nil || account.Rate <= 0 {
--- a/internal/quota/request.go
+++ b/internal/quota/request.go
@@ -1,6 +1,6 @@
 package quota
 
-// Request is what is asked of a client account's allowance.
+// Request is what is asked of a client account's quota.
 type Request struct {
 	// Start says that the request is the first of a program, which is expected to need
 	// Cost requests.
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -41,10 +41,22 @@
 // partitionKey is the rendezvous key of a partition's home.
 func partitionKey(partition int) uint64 { return uint64(partition) + 1 }
 
-// Owns reports whether this host is the first candidate for a partition.
-func (c *Client) Owns(partition int) bool {
+// isFirst reports whether a host is the first candidate for a partition.
+func (c *Client) isFirst(partition int, id string) bool {
 	first := c.hosts.Candidates(partitionKey(partition), 1)
-	return len(first) > 0 && first[0].ID == c.hosts.Self().ID
+	return len(first) > 0 && first[0].ID == id
+}
+
+// Owns reports whether this host is the first candidate for a partition.
+func (c *Client) Owns(partition int) bool { return c.isFirst(partition, c.hosts.Self().ID) }
+
+// at calls a method of the service at a host, or local if it is this one.
+func (c *Client) at(ctx context.Context, h peers.Host, method string, args, reply any, local func()) error {
+	if h.ID == c.hosts.Self().ID {
+		local()
+		return nil
+	}
+	return c.caller.Call(ctx, h, ServiceName+"."+method, args, reply)
 }
 
 // Begin asks the homes of the program in turn. A turn to continue that its partition
@@ -68,32 +80,31 @@
 func (c *Client) begin(ctx context.Context, args BeginArgs) BeginReply {
 	reply := BeginReply{Outcome: Unavailable}
 	c.ask(ctx, PartitionOf(args.Account, args.Program), func(ctx context.Context, h peers.Host) (bool, error) {
-		reply = BeginReply{}
-		var err error
-		if h.ID == c.hosts.Self().ID {
-			reply = c.home.Begin(ctx, args)
-		} else {
-			err = c.caller.Call(ctx, h, ServiceName+".Begin", args, &reply)
+		// A reply of its own: one that comes too late must not overwrite the next home's.
+		var got BeginReply
+		err := c.at(ctx, h, "Begin", args, &got, func() { got = c.home.Begin(ctx, args) })
+		if err != nil {
+			return false, err
 		}
-		return reply.Outcome != Unavailable, err
+		reply = got
+		return reply.Outcome != Unavailable, nil
 	})
 	return reply
 }
 
 // End settles a turn at one of its homes. It reports whether the turn is kept.
 func (c *Client) End(ctx context.Context, t Turn) bool {
-	reply := EndReply{}
+	kept := false
 	c.ask(ctx, PartitionOf(t.Account, t.Program), func(ctx context.Context, h peers.Host) (bool, error) {
-		reply = EndReply{}
-		var err error
-		if h.ID == c.hosts.Self().ID {
-			reply.Kept = c.home.End(ctx, t)
-		} else {
-			err = c.caller.Call(ctx, h, ServiceName+".End", EndArgs{Turn: t}, &reply)
+		var got EndReply
+		err := c.at(ctx, h, "End", EndArgs{Turn: t}, &got, func() { got.Kept = c.home.End(ctx, t) })
+		if err != nil {
+			return false, err
 		}
-		return reply.Kept, err
+		kept = got.Kept
+		return kept, nil
 	})
-	return reply.Kept
+	return kept
 }
 
 // ask calls the homes of a partition in turn until one decides. A home that answers,
@@ -113,7 +124,7 @@
 		if decided && err == nil {
 			return
 		}
-		if first := c.hosts.Candidates(partitionKey(partition), 1); err == nil && len(first) > 0 && first[0].ID == next.ID {
+		if err == nil && c.isFirst(partition, next.ID) {
 			return
 		}
 	}
@@ -138,13 +149,12 @@
 	replies := make(chan LocateReply, len(hosts))
 	for _, h := range hosts {
 		go func() {
-			reply := LocateReply{Outcome: Unavailable}
-			if h.ID == c.hosts.Self().ID {
-				reply = c.home.Locate(ctx, args, c.Owns)
-			} else if c.caller.Call(ctx, h, ServiceName+".Locate", args, &reply) != nil {
-				reply = LocateReply{Outcome: Unavailable}
+			var got LocateReply
+			if c.at(ctx, h, "Locate", args, &got, func() { got = c.home.Locate(ctx, args, c.Owns) }) != nil {
+				replies <- LocateReply{Outcome: Unavailable}
+				return
 			}
-			replies <- reply
+			replies <- got
 		}()
 	}
 	certain := uint64(0)
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -159,23 +159,18 @@
 			return false
 		case <-timer.C:
 		}
-		p.mu.Lock()
-		p.troubled = true
-		p.mu.Unlock()
+		p.trouble()
 	}
 	p.mu.Lock()
 	unverified := time.Since(p.verified)
 	p.mu.Unlock()
-	if unverified > maxUnverified {
-		select {
-		case <-c.done:
-			return true
-		case <-ctx.Done():
-			return false
-		}
+	// Without copies the channel stays nil, and only the store can keep the reservation.
+	var copied <-chan bool
+	if unverified <= maxUnverified {
+		enough := make(chan bool, 1)
+		copied = enough
+		go func() { enough <- h.copier.Copy(ctx, CopyArgs{Partition: p.id, Turns: []Turn{c.turn}}) }()
 	}
-	copied := make(chan bool, 1)
-	go func() { copied <- h.copier.Copy(ctx, CopyArgs{Partition: p.id, Turns: []Turn{c.turn}}) }()
 	for {
 		select {
 		case <-c.done:
--- a/internal/turns/load.go
+++ b/internal/turns/load.go
@@ -51,6 +51,10 @@
 		return p.loadEnd
 	}
 	end := make(chan struct{})
+	if p.loaded {
+		close(end)
+		return end
+	}
 	p.loadEnd = end
 	go func() {
 		h.loads <- struct{}{}
