Close the idle connections of a replica when one of its connections breaks

Ruled out: new connections, which are refused and let the request go to another replica.

Test: TestCrashFailsNoIdleConnections (failed before).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -24,6 +24,7 @@
 	written <-chan error
 	stop    func() bool
 	ended   bool
+	broken  bool
 	keep    bool
 	close   sync.Once
 }
@@ -31,8 +32,11 @@
 // Read reads the body. io.EOF means that the body is whole.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		a.ended = true
+	case err != nil:
+		a.broken = true
 	}
 	return n, err
 }
@@ -52,6 +56,9 @@
 			a.pool.put(a.target, a.conn)
 			return
 		}
+		if a.broken && stopped {
+			a.pool.discard(a.target)
+		}
 		a.conn.Close()
 	})
 }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -91,6 +91,18 @@
 	p.mu.Unlock()
 }
 
+// discard closes the idle connections to a replica after one of its connections broke:
+// a replica that crashed leaves all of them dead, and each would fail another request.
+func (p *Pool) discard(t target) {
+	p.mu.Lock()
+	list := p.idle[t]
+	delete(p.idle, t)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
 // Sweep closes connections that have been idle for too long.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 
@@ -35,7 +36,10 @@
 	}
 	answer, err := receive(c, r, belongs)
 	if err != nil {
-		stop()
+		// A connection that was closed for ctx says nothing about the replica.
+		if stop() && errors.Is(err, ErrBroken) {
+			p.discard(t)
+		}
 		c.Close()
 		return nil, err
 	}
--- a/internal/forward/send_test.go
+++ b/internal/forward/send_test.go
@@ -92,6 +92,47 @@
 	is.Equal(count.Load(), int64(1))
 }
 
+// TestCrashFailsNoIdleConnections answers replicas that crash with idle connections open:
+// after the first request that fails, the others must not fail on them, too.
+func TestCrashFailsNoIdleConnections(t *testing.T) {
+	is := is.New(t)
+	var crashed atomic.Bool
+	both := make(chan struct{}, 2)
+	addr, count := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		old := !crashed.Load()
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil || (old && crashed.Load()) {
+				return
+			}
+			if old {
+				both <- struct{}{}
+				for len(both) < 2 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			if _, err := io.WriteString(c, reply(request.Header.Get("Id"), "x")); err != nil {
+				return
+			}
+		}
+	})
+	p := NewPool()
+	other := make(chan error, 1)
+	go func() {
+		_, err := send(t, p, addr, "a")
+		other <- err
+	}()
+	_, err := send(t, p, addr, "b")
+	is.NoErr(err)
+	is.NoErr(<-other)
+	is.Equal(count.Load(), int64(2))
+	crashed.Store(true)
+	_, err = send(t, p, addr, "c")
+	is.True(errors.Is(err, ErrBroken))
+	_, err = send(t, p, addr, "d")
+	is.NoErr(err)
+}
+
 // TestExtraAnswers guards against the answer to an earlier request that is taken for
 // the answer to the next one, whether it comes at once or late.
 func TestExtraAnswers(t *testing.T) {
