Let small accounts use rate and burst of a window; give back what did not run

Now a bucket holds at least 30 requests as far as the window allows, a sliding count keeps each window to rate and burst, and requests that reached no replica are given back. Ruled out: the owner's reachability.

Left: the remaining refusals; not traced one by one.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -67,25 +67,39 @@
 	if x.route.KeepsTurns && x.call.Previous == "" {
 		r.Start, r.Cost = true, x.g.costs.Of(x.route.Name)
 	}
-	reply := x.g.quota.Admit(ctx, x.account, x.table.Version, r)
+	reply, grant := x.g.quota.Admit(ctx, x.account, x.table.Version, r)
 	for !reply.Admitted && !r.Start && ctx.Err() == nil && time.Since(x.start)+reply.RetryAfter <= rateWait {
 		select {
 		case <-time.After(reply.RetryAfter):
 		case <-ctx.Done():
 		}
-		reply = x.g.quota.Admit(ctx, x.account, x.table.Version, r)
+		reply, grant = x.g.quota.Admit(ctx, x.account, x.table.Version, r)
 	}
 	if !reply.Admitted {
 		return &refusal{status: http.StatusTooManyRequests, reason: "rate of the client account exceeded",
 			retryAfter: reply.RetryAfter}
 	}
+	x.admitted, x.starts, x.grant = true, r.Start, grant
+	return nil
+}
+
+// giveBack takes a request that did not run off what its account used.
+func (x *exchange) giveBack() {
+	if x.grant != nil {
+		x.g.quota.GiveBack(x.grant)
+	}
+	x.admitted, x.grant = false, nil
+}
+
+// countCost enters an admitted request in the estimate of what programs need.
+func (x *exchange) countCost() {
 	switch {
+	case !x.admitted:
 	case x.route.KeepsTurns:
-		x.g.costs.Turn(x.route.Name, r.Start)
+		x.g.costs.Turn(x.route.Name, x.starts)
 	case x.call.Program != "":
 		x.g.costs.Request()
 	}
-	return nil
 }
 
 // priority is the rank of the request; 0 is served first.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/quota"
 	"cowslipgw/internal/route"
 )
 
@@ -22,6 +23,12 @@
 	body     []byte
 	deadline time.Time
 
+	// admitted says that the request was taken off its account's quota, by grant if the
+	// account has a limit, and starts that it is the first of a program.
+	admitted bool
+	starts   bool
+	grant    *quota.Grant
+
 	// attempts counts the replicas that were tried, and ran says that one of them may
 	// have run the request.
 	attempts int
@@ -38,6 +45,9 @@
 
 // refuse answers for the system.
 func (x *exchange) refuse(f refusal) {
+	if x.admitted && !x.ran {
+		x.giveBack()
+	}
 	x.status, x.reason = f.status, f.reason
 	f.write(x.w)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	x := &exchange{g: g, w: w, start: time.Now()}
 	defer func() {
 		x.left = r.Context().Err() != nil
+		x.countCost()
 		x.report()
 	}()
 	if g.leaving.Load() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -213,3 +214,17 @@
 	w.log.SetFault(nil)
 	is.Equal(w.call(t, "POST", "/chat/1", "in3;", "Id", "t3", "Key", "k", "Program", "p", "Previous", "t1").status, http.StatusOK)
 }
+
+// TestUnrunRequestsLeaveTheRate guards against accounts that are refused within their
+// rate because requests count that were answered without reaching a replica.
+func TestUnrunRequestsLeaveTheRate(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	w := newWorld(t, 0, answering(&runs))
+	time.Sleep(500 * time.Millisecond) // the bucket of an unknown past holds one request by now
+	for n := range 20 {                // more than rate and burst of a window
+		id := "t" + strconv.Itoa(n)
+		is.Equal(w.call(t, "POST", "/chat/1", "x", "Id", id, "Key", "ks", "Program", "p", "Previous", "none").status, http.StatusNotFound)
+	}
+	is.Equal(w.call(t, "GET", "/safe/1", "", "Id", "a", "Key", "ks").status, http.StatusOK)
+}
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -89,7 +89,7 @@
 	chat := make("chat", route.Streaming, 1)
 	chat.KeepsTurns, chat.TurnRetention = true, time.Minute
 	table := route.NewTable(1, []*route.Route{make("safe", route.Safe, 3), make("unsafe", route.Unsafe, 3), chat},
-		[]*route.Service{{Name: "s"}}, []*route.Account{{Name: "acme", Keys: []string{"k"}}}, route.Limits{BodyBytes: 1000}, true)
+		[]*route.Service{{Name: "s"}}, []*route.Account{{Name: "acme", Keys: []string{"k"}}, {Name: "small", Keys: []string{"ks"}, Rate: 1, Burst: 1}}, route.Limits{BodyBytes: 1000}, true)
 	w := &world{log: storelog.NewMemory(), source: &source{table: table}, replicas: replica.NewSet("z", events)}
 	for n, handler := range upstreams {
 		server := httptest.NewServer(handler)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -20,6 +20,13 @@
 	startLevel = 0.2
 	// urgentReserve of the burst is left to programs of the most urgent rank.
 	urgentReserve = 0.25
+	// minDepth is the least number of requests that a bucket can hold, as far as rate and
+	// burst of a window allow. A program needs about that many more than a small rate
+	// refills while it runs.
+	minDepth = 30
+	// programsDepth is how many programs of the expected size a bucket may let in at
+	// once, as far as rate and burst of a window allow.
+	programsDepth = 2
 )
 
 // bucket is the token bucket of one client account as this host sees it.
@@ -27,19 +34,28 @@
 	// version is the configuration that rate and burst are from.
 	version     int64
 	rate, burst float64
-	level       float64
+	// window is the time in which no more than its rate and one burst may be admitted.
+	window time.Duration
+	level  float64
+	// admitted and committed count requests in the window: those let through, and those
+	// that the programs let in are expected to need.
+	admitted, committed ledger
 	// own is what this host may admit by itself while it does not reach the owner.
 	own float64
 	// uncommitted is what is left for further programs: the burst and rate less what the
 	// programs that were let in are expected to need. It may be negative.
 	uncommitted float64
-	last        boottime.Instant
+	// cost is what the last program that asked was expected to need.
+	cost float64
+	last boottime.Instant
 	// used counts what this host admitted and committed.
 	used peers.Usage
 	// others holds the last counters of the other hosts.
 	others map[string]counter
 }
 
+func newBucket() *bucket { return &bucket{others: make(map[string]counter)} }
+
 // counter is the last usage heard of another host.
 type counter struct {
 	incarnation int64
@@ -61,12 +77,26 @@
 	return 1
 }
 
+// total is what the account may use in a window.
+func (b *bucket) total() float64 { return b.rate*b.window.Seconds() + b.burst }
+
+// depth is the number of requests that the bucket can hold.
+func (b *bucket) depth() float64 { return max(b.burst, min(b.total(), minDepth)) }
+
+// programDepth is the number of requests that may be committed to programs at once, if
+// a program is expected to need cost.
+func (b *bucket) programDepth(cost float64) float64 {
+	return max(b.burst, min(commitShare*b.total(), programsDepth*cost))
+}
+
 func (b *bucket) refill(now boottime.Instant, f fleet) {
 	seconds := max(now.Sub(b.last).Seconds(), 0)
 	b.last = now
+	b.admitted.advance(now, b.window)
+	b.committed.advance(now, b.window)
 	gained := seconds * b.rate * f.part()
-	b.level = math.Min(b.level+gained, b.burst*f.part())
-	b.uncommitted = math.Min(b.uncommitted+commitShare*gained, b.burst*f.part())
+	b.level = math.Min(b.level+gained, b.depth()*f.part())
+	b.uncommitted = math.Min(b.uncommitted+commitShare*gained, b.programDepth(b.cost)*f.part())
 	share := 1 / float64(max(f.alive, 1))
 	b.own = math.Min(b.own+gained*share, math.Max(b.burst*f.part()*share, 1))
 }
@@ -75,22 +105,21 @@
 // room for the whole program, so that programs that were let in can end; Cost is what
 // it is expected to need. A host that is not the bucket's owner keeps to its share.
 func (b *bucket) take(now boottime.Instant, f fleet, r Request, owner bool) bool {
+	if r.Start {
+		b.cost = r.Cost
+	}
 	b.refill(now, f)
-	if b.level < 1 || (!owner && b.own < 1) {
+	if b.level < 1 || b.admitted.sum+1 > b.total()*f.part() || (!owner && b.own < 1) {
 		return false
 	}
 	if r.Start {
-		reserve := 0.0
-		if !r.Urgent {
-			reserve = urgentReserve * b.burst * f.part()
-		}
-		if b.uncommitted <= reserve || b.level < startLevel*b.burst*f.part() {
+		if !b.roomForProgram(f, r) {
 			return false
 		}
-		b.uncommitted -= r.Cost
-		b.used.Committed += uint32(r.Cost)
+		b.commit(r.Cost)
 	}
 	b.level--
+	b.admitted.add(1)
 	if !owner {
 		b.own--
 	}
@@ -98,20 +127,58 @@
 	return true
 }
 
+// roomForProgram reports whether a program may begin. One that needs more than the whole
+// window may begin while no other is counted.
+func (b *bucket) roomForProgram(f fleet, r Request) bool {
+	reserve := 0.0
+	if !r.Urgent {
+		reserve = urgentReserve * b.burst * f.part()
+	}
+	if b.uncommitted <= reserve || b.level < startLevel*b.burst*f.part() {
+		return false
+	}
+	return b.committed.sum == 0 || b.committed.sum+r.Cost <= b.total()*f.part()
+}
+
+// commit counts n requests as needed by programs that were let in.
+func (b *bucket) commit(n float64) {
+	b.uncommitted -= n
+	b.committed.add(n)
+	b.used.Committed += uint32(int32(n))
+}
+
+// giveBack takes back a request that take admitted and that did not run.
+func (b *bucket) giveBack(now boottime.Instant, f fleet, r Request, owner bool) {
+	b.refill(now, f)
+	if r.Start {
+		b.commit(-r.Cost)
+	}
+	b.level = min(b.level+1, b.depth()*f.part())
+	b.admitted.add(-1)
+	if !owner {
+		b.own++
+	}
+	b.used.Admitted--
+}
+
 // wait returns the time until the bucket holds a request that was refused.
 func (b *bucket) wait(f fleet, r Request, owner bool) time.Duration {
 	missing := 1 - b.level
 	rate := b.rate * f.part()
+	total := b.total() * f.part()
+	least := b.admitted.room(total-1, b.window)
 	if r.Start {
 		missing = max(missing, -b.uncommitted/commitShare, startLevel*b.burst*f.part()-b.level)
+		least = max(least, b.committed.room(max(total-r.Cost, 0), b.window))
 	}
 	if !owner {
 		missing = max(missing, (1-b.own)*float64(f.alive))
 	}
-	return time.Duration(missing / rate * float64(time.Second))
+	return max(least, time.Duration(missing/rate*float64(time.Second)))
 }
 
-// heard takes off what another host used since its last heartbeat.
+// heard enters what another host used since its last heartbeat. Its counters fall when
+// it takes requests back.
 func (b *bucket) heard(host string, incarnation int64, used peers.Usage) {
 	last, known := b.others[host]
 	b.others[host] = counter{incarnation: incarnation, used: used}
@@ -121,24 +188,31 @@
 	if last.incarnation != incarnation {
 		last.used = peers.Usage{}
 	}
-	b.level -= float64(used.Admitted - last.used.Admitted)
-	b.uncommitted -= float64(used.Committed - last.used.Committed)
+	admitted := float64(int32(used.Admitted - last.used.Admitted))
+	committed := float64(int32(used.Committed - last.used.Committed))
+	b.level = min(b.level-admitted, b.depth())
+	b.uncommitted -= committed
+	b.admitted.add(admitted)
+	b.committed.add(committed)
 }
 
 // configure sets the rate and burst of a version of the configuration, unless a newer
 // one is known. A bucket whose past is unknown starts with what the bound allows beyond
-// them; a changed one keeps its level within the new burst.
+// them; a changed one keeps its level within the new depth.
 func (b *bucket) configure(version int64, rate, burst float64, window time.Duration, now boottime.Instant) {
 	if version < b.version {
 		return
 	}
 	b.version = version
-	if b.rate == 0 {
-		b.level = min(burst, startShare*(rate*window.Seconds()+burst))
+	first := b.rate == 0
+	b.rate, b.burst, b.window = rate, burst, window
+	if first {
+		b.level = min(burst, startShare*b.total())
 		b.uncommitted = burst
 		b.last = now
+		b.admitted.advance(now, window)
+		b.committed.advance(now, window)
 	}
-	b.rate, b.burst = rate, burst
-	b.level = min(b.level, burst)
-	b.uncommitted = min(b.uncommitted, burst)
+	b.level = min(b.level, b.depth())
+	b.uncommitted = min(b.uncommitted, b.programDepth(b.cost))
 }
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -25,7 +25,7 @@
 func newTestFleet(hosts int) *testFleet {
 	f := &testFleet{now: boottime.Instant(time.Hour)}
 	for range hosts {
-		b := &bucket{others: make(map[string]counter)}
+		b := newBucket()
 		b.configure(1, testRate, testBurst, testWindow, f.now)
 		f.buckets = append(f.buckets, b)
 	}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -62,10 +62,20 @@
 	return TakeReply{RetryAfter: max(b.wait(f, args.Request, owner), minRetry)}
 }
 
+// GiveBack takes back a request that Take admitted and that did not run. Owner is what
+// Take was told.
+func (l *Limiter) GiveBack(args TakeArgs, owner bool) {
+	f := fleet{}
+	f.known, f.alive = l.counts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bucketLocked(hashOf(args.Account)).giveBack(boottime.Now(), f, args.Request, owner)
+}
+
 func (l *Limiter) bucketLocked(account uint32) *bucket {
 	b := l.buckets[account]
 	if b == nil {
-		b = &bucket{others: make(map[string]counter)}
+		b = newBucket()
 		l.buckets[account] = b
 	}
 	return b
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -31,3 +31,12 @@
 	*reply = s.limiter.Take(args, true)
 	return nil
 }
+
+// GiveBackReply is empty: a request is taken back in any case.
+type GiveBackReply struct{}
+
+// GiveBack calls Limiter.GiveBack as the owner of the bucket.
+func (s *Service) GiveBack(args TakeArgs, _ *GiveBackReply) error {
+	s.limiter.GiveBack(args, true)
+	return nil
+}
