Send callers and homes to the hosts with the most processor time, and away from slow ones

Now the directory names the largest hosts that hold half of the processor time, rendezvous hashing is weighted by it, hosts with late timers say that they are strained, a connection is closed after 200 ms of silence, and repeated suspicion lasts. Ruled out: load of the engines (busiest/mean 1.70).

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -61,6 +61,7 @@
 	dropped func() uint64
 
 	table     *peers.Table
+	strain    peers.Strain
 	registry  *peers.Registry
 	beacon    *peers.Beacon
 	home      *turns.Home
@@ -85,8 +86,9 @@
 	monitor := storelog.NewMonitor()
 	p.table = peers.NewTable(peers.Host{
 		ID: s.Node, Incarnation: time.Now().UnixMicro(), Zone: s.Zone, Entry: s.Frontend,
-		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
+		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Cores: s.Cores,
 	}, monitor.Healthy)
+	p.table.SetStrained(p.strain.Strained)
 	store := platform.NewStore(s.Store, monitor)
 	p.registry = peers.NewRegistry(p.table, store, events)
 	limiter := quota.NewLimiter(s.RateWindow, p.table.Counts)
@@ -163,6 +165,7 @@
 
 // start starts what runs beside the requests.
 func (p *gatewayProcess) start(ctx context.Context) {
+	go p.strain.Run(ctx)
 	go p.beacon.Receive()
 	go p.beacon.Run(ctx)
 	go p.registry.Run(ctx)
--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -53,7 +53,8 @@
 // Send sends one heartbeat to every other host.
 func (b *Beacon) Send() {
 	leaving, serving := b.table.status()
-	beat := Heartbeat{Host: b.table.self, Leaving: leaving, Serving: serving, StoreLost: !b.table.storeHealthy()}
+	beat := Heartbeat{Host: b.table.self, Leaving: leaving, Serving: serving, StoreLost: !b.table.storeHealthy(),
+		Strained: b.table.strained()}
 	b.fill(&beat)
 	data, err := cbor.Marshal(beat)
 	if err != nil {
--- a/internal/peers/caller.go
+++ b/internal/peers/caller.go
@@ -14,8 +14,15 @@
 // milliseconds away.
 const dialTimeout = 150 * time.Millisecond
 
-// Caller calls other hosts by net/rpc over one kept connection each. A call that gets
-// no answer in its time closes the connection, because it may have gone silent.
+// silentAfter is how long no call may be answered before a connection with calls under
+// way counts as silent. Hosts with little processor time take tens of milliseconds.
+const silentAfter = 200 * time.Millisecond
+
+// silentMemory is how long calls without an answer count together.
+const silentMemory = time.Second
+
+// Caller calls other hosts by net/rpc over one kept connection each. A connection on
+// which no call is answered for a while is closed, because it may have gone silent.
 type Caller struct {
 	table *Table
 
@@ -27,6 +34,10 @@
 type link struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	// waiting is the number of calls under way, and quiet the time since which none was
+	// answered.
+	waiting int
+	quiet   time.Time
 }
 
 // NewCaller returns a caller that marks hosts in table as suspect when calls fail.
@@ -49,16 +60,20 @@
 		c.table.Suspect(h.ID)
 		return oops.With("host", h.ID).Wrapf(err, "connect to host")
 	}
+	l.begin()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		if _, answered := call.Error.(rpc.ServerError); call.Error != nil && !answered {
+		_, refused := call.Error.(rpc.ServerError)
+		answered := call.Error == nil || refused
+		l.end(answered)
+		if !answered {
 			l.drop(client)
 			c.table.Suspect(h.ID)
 		}
 		return call.Error
 	case <-ctx.Done():
-		if ctx.Err() == context.DeadlineExceeded {
+		if l.end(false) && ctx.Err() == context.DeadlineExceeded {
 			l.drop(client)
 			c.table.Suspect(h.ID)
 		}
@@ -66,6 +81,35 @@
 	}
 }
 
+// begin notes the start of a call.
+func (l *link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	// A silence from long before this call proves nothing: its answer may have come late.
+	if l.waiting == 0 && now.Sub(l.quiet) > silentMemory {
+		l.quiet = now
+	}
+	l.waiting++
+}
+
+// end notes the end of a call. It reports whether no call was answered for so long that
+// the connection counts as silent. Calls that follow each other without an answer count
+// as one silence.
+func (l *link) end(answered bool) (silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waiting--
+	if answered {
+		l.quiet = time.Time{}
+		if l.waiting > 0 {
+			l.quiet = time.Now()
+		}
+		return false
+	}
+	return time.Since(l.quiet) >= silentAfter
+}
+
 // connect returns the kept connection or opens one.
 func (l *link) connect(ctx context.Context, addr string) (*rpc.Client, error) {
 	l.mu.Lock()
@@ -87,6 +131,7 @@
 	l.mu.Lock()
 	if l.client == client {
 		l.client = nil
+		l.quiet = time.Time{}
 	}
 	l.mu.Unlock()
 	client.Close()
--- /dev/null
+++ b/internal/peers/caller_test.go
@@ -0,0 +1,74 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// sleeper is an RPC service that answers after a time.
+type sleeper struct{}
+
+// Sleep sleeps for d.
+func (sleeper) Sleep(d time.Duration, _ *struct{}) error {
+	time.Sleep(d)
+	return nil
+}
+
+// newSleeper returns a host that serves sleeper, and a table that knows it.
+func newSleeper(t *testing.T) (*Table, Host) {
+	t.Helper()
+	server := rpc.NewServer()
+	if err := server.RegisterName("Sleeper", sleeper{}); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go server.Accept(listener)
+	h := Host{ID: "1", Incarnation: 1, Addr: listener.Addr().String()}
+	table := NewTable(Host{ID: "0"}, func() bool { return true })
+	table.Heard(Heartbeat{Host: h, Serving: true})
+	return table, h
+}
+
+// sleep calls the sleeper with a deadline.
+func sleep(c *Caller, h Host, d, deadline time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	return c.Call(ctx, h, "Sleeper.Sleep", d, &struct{}{})
+}
+
+// TestShortDeadlineKeepsConnection guards against a call with a short deadline that breaks
+// the other calls to a host, and moves its partitions.
+func TestShortDeadlineKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	table, h := newSleeper(t)
+	c := NewCaller(table)
+	is.NoErr(sleep(c, h, 0, time.Second))
+	other := make(chan error, 1)
+	go func() { other <- sleep(c, h, 150*time.Millisecond, time.Second) }()
+	is.True(sleep(c, h, 100*time.Millisecond, 50*time.Millisecond) != nil)
+	is.NoErr(<-other)
+	_, alive := table.Counts()
+	is.Equal(alive, 2)
+}
+
+// TestSilentHostIsSuspected guards against calls that go on waiting for a host which no
+// longer answers, each for its short deadline.
+func TestSilentHostIsSuspected(t *testing.T) {
+	is := is.New(t)
+	table, h := newSleeper(t)
+	c := NewCaller(table)
+	start := time.Now()
+	for alive := 2; alive == 2; _, alive = table.Counts() {
+		is.True(sleep(c, h, 2*time.Second, 50*time.Millisecond) != nil)
+		is.True(time.Since(start) < 2*silentAfter)
+	}
+}
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -10,6 +10,9 @@
 	// StoreLost says that the host does not reach the store, so that others should
 	// decide for its partitions.
 	StoreLost bool `cbor:"5,keyasint,omitempty"`
+	// Strained says that the host lacks processor time, so that others should decide for
+	// its partitions and serve its callers.
+	Strained bool `cbor:"6,keyasint,omitempty"`
 	// Usage is what client accounts used at the host since the start of its incarnation,
 	// by the hash of the account's name.
 	Usage map[uint32]Usage `cbor:"4,keyasint,omitempty"`
--- a/internal/peers/host.go
+++ b/internal/peers/host.go
@@ -11,4 +11,16 @@
 	// Entry is the address for callers.
 	Entry string `cbor:"4,keyasint"`
 	Zone  string `cbor:"5,keyasint"`
+	// Cores is the processor time that the host may use, in cores. It weighs the host as
+	// home and as entry.
+	Cores float64 `cbor:"6,keyasint,omitempty"`
+}
+
+// weight is the host's part of the work in relation to others. A host that does not say
+// what it has counts as one core.
+func (h Host) weight() float64 {
+	if h.Cores <= 0 {
+		return 1
+	}
+	return h.Cores
 }
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -13,8 +13,9 @@
 	serving bool
 	// storeLost says that the host does not reach the store.
 	storeLost bool
-	// suspect is set by a failed call and cleared by the next heartbeat.
-	suspect bool
+	// strained says that the host lacks processor time.
+	strained bool
+	suspicion
 }
 
 // alive reports whether the host was heard of lately and no call failed since.
--- /dev/null
+++ b/internal/peers/serving.go
@@ -0,0 +1,82 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+
+	"cowslipgw/internal/boottime"
+)
+
+const (
+	// servingShare of the fleet's processor time is enough to serve all callers: a fleet
+	// is sized so that it can lose half of its hosts.
+	servingShare = 0.5
+	// minServing is the least number of hosts that callers are sent to, so that the loss of
+	// a few leaves them others to turn to until they ask again.
+	minServing = 8
+)
+
+// Serving returns the hosts that callers may be sent to, those of zone first. In a fleet
+// of unequal hosts these are the largest ones: with fewer entries each knows the load of
+// replicas better and keeps more connections in use, and a request takes less time.
+// Strained hosts are left out while they are few.
+func (t *Table) Serving(zone string) []Host {
+	strained := t.strained()
+	t.mu.Lock()
+	now, timeout := boottime.Now(), t.timeoutLocked()
+	var able, weak []Host
+	if t.serving && !t.leaving {
+		able, weak = appendHost(able, weak, t.self, strained)
+	}
+	for _, m := range t.members {
+		if m.serving && !m.leaving && m.alive(now, timeout) {
+			able, weak = appendHost(able, weak, m.host, m.strained)
+		}
+	}
+	t.mu.Unlock()
+	hosts := append(able, weak...)
+	// Many strained hosts show a load that needs all.
+	if 4*len(weak) < len(hosts) {
+		hosts = largest(able)
+	}
+	slices.SortFunc(hosts, func(a, b Host) int {
+		return cmp.Or(compareBool(b.Zone == zone, a.Zone == zone), cmp.Compare(a.ID, b.ID))
+	})
+	return hosts
+}
+
+func appendHost(able, weak []Host, h Host, strained bool) ([]Host, []Host) {
+	if strained {
+		return able, append(weak, h)
+	}
+	return append(able, h), weak
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// largest returns the largest hosts that together hold servingShare of the weight, and
+// all others as large as the smallest of them.
+func largest(hosts []Host) []Host {
+	slices.SortFunc(hosts, func(a, b Host) int { return cmp.Compare(b.weight(), a.weight()) })
+	total, sum := 0.0, 0.0
+	for _, h := range hosts {
+		total += h.weight()
+	}
+	for n, h := range hosts {
+		enough := sum >= servingShare*total && n >= minServing
+		if enough && h.weight() < hosts[n-1].weight() {
+			return hosts[:n]
+		}
+		sum += h.weight()
+	}
+	return hosts
+}
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -1,6 +1,9 @@
 package peers
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -32,14 +35,21 @@
 	members map[string]*member
 	leaving bool
 	serving bool
+	// strained reports whether this host lacks processor time.
+	strained func() bool
 }
 
 // NewTable returns a table that knows only this host. StoreHealthy reports whether
 // this host reaches the store.
 func NewTable(self Host, storeHealthy func() bool) *Table {
-	return &Table{self: self, storeHealthy: storeHealthy, members: make(map[string]*member)}
+	return &Table{self: self, storeHealthy: storeHealthy, members: make(map[string]*member),
+		strained: func() bool { return false }}
 }
 
+// SetStrained sets the function that reports whether this host lacks processor time. It
+// must be called before the table is used.
+func (t *Table) SetStrained(strained func() bool) { t.strained = strained }
+
 // Self returns this host.
 func (t *Table) Self() Host { return t.self }
 
@@ -125,7 +135,8 @@
 		t.members[b.Host.ID] = m
 	}
 	m.heard = boottime.Now()
-	m.leaving, m.serving, m.storeLost, m.suspect = b.Leaving, b.Serving, b.StoreLost, false
+	m.leaving, m.serving, m.storeLost, m.strained = b.Leaving, b.Serving, b.StoreLost, b.Strained
+	m.clear(m.heard)
 	return true
 }
 
@@ -134,7 +145,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		m.suspect = true
+		m.raise(boottime.Now())
 	}
 }
 
@@ -184,83 +195,63 @@
 	return len(t.members) + 1
 }
 
-// Serving returns the hosts that callers may be sent to, those of zone first.
-func (t *Table) Serving(zone string) []Host {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now, timeout := boottime.Now(), t.timeoutLocked()
-	var hosts []Host
-	if t.serving && !t.leaving {
-		hosts = append(hosts, t.self)
-	}
-	for _, m := range t.members {
-		if m.serving && !m.leaving && m.alive(now, timeout) {
-			hosts = append(hosts, m.host)
-		}
-	}
-	sort.Slice(hosts, func(i, j int) bool {
-		if near, other := hosts[i].Zone == zone, hosts[j].Zone == zone; near != other {
-			return near
-		}
-		return hosts[i].ID < hosts[j].ID
-	})
-	return hosts
-}
-
 // Ranks of candidates; a lower one is tried first.
 const (
 	rankAlive = iota
+	rankStrained
 	rankLeaving
 	rankStoreLost
-	rankSilent
 )
 
+// candidate is a host with its order for a key.
+type candidate struct {
+	host  Host
+	rank  int
+	score float64
+}
+
 // Candidates returns up to limit hosts that may be the home of key, the best first.
-// The order is a rendezvous hash among the live hosts, then among the leaving ones and,
-// in a partial outage of the store, those that do not reach it.
+// The order is a rendezvous hash among the live hosts, weighted by their processor time,
+// then among the strained and the leaving ones and, in a partial outage of the store,
+// those that do not reach it.
 func (t *Table) Candidates(key uint64, limit int) []Host {
-	type candidate struct {
-		host   Host
-		rank   int
-		weight uint64
-	}
 	storeLost := !t.storeHealthy()
+	strained := t.strained()
 	t.mu.Lock()
 	now, timeout := boottime.Now(), t.timeoutLocked()
 	partial := t.partialOutageLocked(now, timeout, storeLost)
 	list := make([]candidate, 0, len(t.members)+1)
-	self := candidate{host: t.self, weight: weight(key, t.self.ID)}
+	self := candidate{host: t.self, score: score(key, t.self)}
 	switch {
 	case storeLost && partial:
 		self.rank = rankStoreLost
 	case t.leaving:
 		self.rank = rankLeaving
+	case strained:
+		self.rank = rankStrained
 	}
 	list = append(list, self)
-	for id, m := range t.members {
-		c := candidate{host: m.host, weight: weight(key, id)}
+	for _, m := range t.members {
+		if !m.alive(now, timeout) {
+			continue
+		}
+		c := candidate{host: m.host, score: score(key, m.host)}
 		switch {
-		case !m.alive(now, timeout):
-			c.rank = rankSilent
 		case m.storeLost && partial:
 			c.rank = rankStoreLost
 		case m.leaving:
 			c.rank = rankLeaving
+		case m.strained:
+			c.rank = rankStrained
 		}
 		list = append(list, c)
 	}
 	t.mu.Unlock()
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].rank != list[j].rank {
-			return list[i].rank < list[j].rank
-		}
-		return list[i].weight > list[j].weight
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.score, a.score))
 	})
-	hosts := make([]Host, 0, limit)
-	for _, c := range list {
-		if len(hosts) == limit || c.rank == rankSilent {
-			break
-		}
+	hosts := make([]Host, 0, min(limit, len(list)))
+	for _, c := range list[:min(limit, len(list))] {
 		hosts = append(hosts, c.host)
 	}
 	return hosts
@@ -285,11 +276,14 @@
 	return 2*reach >= alive
 }
 
-// weight is the rendezvous weight of a host for a key.
-func weight(key uint64, id string) uint64 {
-	x := xxhash.Sum64String(id) ^ key*0x9e3779b97f4a7c15
+// score is the weighted rendezvous score of a host for a key: a host is first for a part
+// of the keys that is proportional to its weight.
+func score(key uint64, h Host) float64 {
+	x := xxhash.Sum64String(h.ID) ^ key*0x9e3779b97f4a7c15
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
 	x ^= x >> 32
-	return x
+	const mantissa = 53
+	uniform := (float64(x>>(64-mantissa)) + 0.5) / (1 << mantissa)
+	return -h.weight() / math.Log(uniform)
 }
