Ask the home before for its open grants before a budget counts as spent

After a move, the new home counts as used what the one before may have granted ahead, 1.5 of the largest turns, for good. Now it asks that home, which ends its grants ahead and names the turns that it granted; if that home is gone, its grants still count. A spent budget that the store confirmed in the last 300 ms is no longer read again.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -95,7 +95,7 @@
 	caller := peers.NewCaller(p.table)
 	p.limiter = limiter
 	p.client = turns.NewClient(p.table, caller)
-	p.home = turns.NewHome(store, p.client, s.StoreParts, events)
+	p.home = turns.NewHome(p.table.Self(), store, p.client, s.StoreParts, events)
 	p.client.SetHome(p.home)
 	var err error
 	p.beacon, err = peers.NewBeacon(p.table, func(b *peers.Heartbeat) {
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -62,8 +62,12 @@
 // alone is a table of hosts with one host only.
 type alone struct{}
 
-func (alone) Self() peers.Host                          { return peers.Host{ID: "self"} }
-func (alone) Candidates(uint64, int) []peers.Host       { return []peers.Host{{ID: "self"}} }
+func (alone) Self() peers.Host                    { return peers.Host{ID: "self"} }
+func (alone) Candidates(uint64, int) []peers.Host { return []peers.Host{{ID: "self"}} }
+func (alone) Others() []peers.Host                { return nil }
+func (alone) Release(context.Context, turns.ReleaseArgs) (turns.ReleaseReply, bool) {
+	return turns.ReleaseReply{}, false
+}
 func (alone) counts() (int, int)                        { return 1, 1 }
 func (alone) StoreElsewhere() bool                      { return false }
 func (alone) Copy(context.Context, turns.CopyArgs) bool { return false }
@@ -103,7 +107,7 @@
 	t.Cleanup(cancel)
 	go config.Run(ctx)
 	client := turns.NewClient(alone{}, nil)
-	client.SetHome(turns.NewHome(w.log, alone{}, 8, events))
+	client.SetHome(turns.NewHome(alone{}.Self(), w.log, alone{}, 8, events))
 	g := gateway.New(gateway.Parts{Codec: codec{}, Config: config, Quota: quota.NewClient(alone{}, nil, limiter),
 		Costs: quota.NewCosts(), Replicas: w.replicas, Pool: forward.NewPool(), Turns: client, Events: events,
 		StoreElsewhere: alone{}.StoreElsewhere})
--- a/internal/peers/interfaces.go
+++ b/internal/peers/interfaces.go
@@ -6,6 +6,8 @@
 type Hosts interface {
 	Self() Host
 	Candidates(key uint64, limit int) []Host
+	// Others returns all other known hosts, also those that do not answer.
+	Others() []Host
 }
 
 // Calls calls other hosts. Caller implements it.
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -19,11 +19,13 @@
 	locateTimeout = 300 * time.Millisecond
 	// copyTimeout limits one copy of changes at another host.
 	copyTimeout = 200 * time.Millisecond
+	// releaseTimeout limits the question to the home before, which may lack processor time.
+	releaseTimeout = 150 * time.Millisecond
 	// wantedCopies is how many other hosts must hold a change that the store lacks.
 	wantedCopies = 2
 )
 
-// Client reaches the homes of programs. It implements Copier.
+// Client reaches the homes of programs. It implements Others.
 type Client struct {
 	hosts  peers.Hosts
 	caller peers.Calls
@@ -171,7 +173,7 @@
 	return LocateReply{Outcome: UnknownParent}
 }
 
-// Copy implements Copier.
+// Copy implements Others.
 func (c *Client) Copy(ctx context.Context, args CopyArgs) bool {
 	self := c.hosts.Self().ID
 	var others []peers.Host
@@ -193,3 +195,18 @@
 	}
 	return group.Wait() == nil
 }
+
+// Release implements Others. It also asks a host to which calls have failed.
+func (c *Client) Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, bool) {
+	for _, h := range c.hosts.Others() {
+		if WriterOf(h) != args.Writer {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		var reply ReleaseReply
+		err := c.caller.Call(ctx, h, ServiceName+".Release", args, &reply)
+		return reply, err == nil
+	}
+	return ReleaseReply{}, false
+}
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/peers"
 	"cowslipgw/internal/storelog"
 )
 
@@ -17,28 +20,40 @@
 	// a reservation. Another home may have granted meanwhile, so an older state may not
 	// grant without the store; keys are usable for little longer.
 	maxUnverified = 4 * time.Second
+	// exhaustedAge is how long after the store's last confirmation a spent budget needs no
+	// further one. Programs without end ask several times a second.
+	exhaustedAge = 300 * time.Millisecond
 )
 
-// Copier keeps changes at other hosts. It reports whether enough hosts have them to
-// survive the loss of this one.
-type Copier interface {
+// Others are the homes at other hosts.
+type Others interface {
+	// Copy keeps changes at other hosts. It reports whether enough hosts have them to
+	// survive the loss of this one.
 	Copy(ctx context.Context, args CopyArgs) bool
+	// Release asks the home that is named by writer to grant no more ahead. It reports
+	// whether that home answered.
+	Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, bool)
+}
+
+// WriterOf names the home at a host in records.
+func WriterOf(h peers.Host) int64 {
+	return int64(xxhash.Sum64String(h.ID + "/" + strconv.FormatInt(h.Incarnation, 10)))
 }
 
 // Home decides for partitions. Its methods are safe for concurrent use.
 type Home struct {
 	log    storelog.Log
-	copier Copier
+	others Others
 	events *event.Logger
 	parts  [Partitions]*partition
 	// loads holds a token for each load under way.
 	loads chan struct{}
 }
 
-// NewHome returns a home whose topics have partsPerTopic partitions each.
-func NewHome(log storelog.Log, copier Copier, partsPerTopic int, events *event.Logger) *Home {
-	h := &Home{log: log, copier: copier, events: events, loads: make(chan struct{}, maxLoads)}
-	writer := rand.Int64()
+// NewHome returns the home at a host. Its topics have partsPerTopic partitions each.
+func NewHome(self peers.Host, log storelog.Log, others Others, partsPerTopic int, events *event.Logger) *Home {
+	h := &Home{log: log, others: others, events: events, loads: make(chan struct{}, maxLoads)}
+	writer := WriterOf(self)
 	for id := range h.parts {
 		h.parts[id] = newPartition(id, partsPerTopic, writer)
 	}
@@ -52,13 +67,16 @@
 		return BeginReply{Outcome: Unavailable}
 	}
 	reply, c := h.decide(p, args)
-	if reply.Outcome == UnknownParent || reply.Outcome == Exhausted {
+	if reply.Outcome == UnknownParent || (reply.Outcome == Exhausted && !p.verifiedWithin(exhaustedAge)) {
 		// Another home may have written since this one last read.
 		if h.sync(ctx, p) != nil {
 			return BeginReply{Outcome: Unavailable}
 		}
 		reply, c = h.decide(p, args)
 	}
+	if reply.Outcome == Exhausted && h.release(ctx, p, args) {
+		reply, c = h.decide(p, args)
+	}
 	if c == nil {
 		return reply
 	}
@@ -169,7 +187,7 @@
 	if unverified <= maxUnverified {
 		enough := make(chan bool, 1)
 		copied = enough
-		go func() { enough <- h.copier.Copy(ctx, CopyArgs{Partition: p.id, Turns: []Turn{c.turn}}) }()
+		go func() { enough <- h.others.Copy(ctx, CopyArgs{Partition: p.id, Turns: []Turn{c.turn}}) }()
 	}
 	for {
 		select {
--- a/internal/turns/home_test.go
+++ b/internal/turns/home_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,14 +11,22 @@
 	"github.com/matryer/is"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/peers"
 	"cowslipgw/internal/storelog"
 	"cowslipgw/internal/turns"
 )
 
-// copier is a turns.Copier that keeps changes at another home.
-type copier struct{ to *turns.Home }
+// other is a turns.Others with one other home, which may be nil.
+type other struct{ to *turns.Home }
 
-func (c copier) Copy(_ context.Context, args turns.CopyArgs) bool {
+func (c other) Release(_ context.Context, args turns.ReleaseArgs) (turns.ReleaseReply, bool) {
+	if c.to == nil {
+		return turns.ReleaseReply{}, false
+	}
+	return c.to.Release(args)
+}
+
+func (c other) Copy(_ context.Context, args turns.CopyArgs) bool {
 	if c.to == nil {
 		return false
 	}
@@ -25,9 +34,13 @@
 	return true
 }
 
-// newHome returns a home over log whose copies go to other, which may be nil.
-func newHome(log storelog.Log, other *turns.Home) *turns.Home {
-	return turns.NewHome(log, copier{other}, 8, event.Discard())
+// incarnations numbers the homes of the tests.
+var incarnations atomic.Int64
+
+// newHome returns a home over log that reaches to, which may be nil.
+func newHome(log storelog.Log, to *turns.Home) *turns.Home {
+	self := peers.Host{ID: "h", Incarnation: incarnations.Add(1)}
+	return turns.NewHome(self, log, other{to}, 8, event.Discard())
 }
 
 // down is a fault that makes every call of the store fail.
@@ -159,6 +172,37 @@
 	is.True(granted >= 2000-2*150-100)
 }
 
+// TestMovedHomeReleasesBudget guards against programs that are told that their budget is
+// spent because a home that is still alive might have granted tokens ahead.
+func TestMovedHomeReleasesBudget(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	first := newHome(log, nil)
+	second := newHome(log, first)
+	is.Equal(begin(t, first, "t1", "", 250).Outcome, turns.Granted)
+	is.True(second.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.Equal(begin(t, second, "t2", "t1", 250).Outcome, turns.Granted)
+	is.Equal(begin(t, second, "t3", "t1", 250).Outcome, turns.Granted)
+	is.Equal(begin(t, second, "t4", "t1", 250).Outcome, turns.Exhausted)
+}
+
+// TestReleaseCountsOpenTurns guards against tokens that are granted again although the
+// home before granted them to a turn that is still under way.
+func TestReleaseCountsOpenTurns(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	first := newHome(log, nil)
+	second := newHome(log, first)
+	is.Equal(begin(t, first, "t1", "", 250).Outcome, turns.Granted)
+	is.Equal(begin(t, first, "ahead", "", 250).Outcome, turns.Granted) // no record is written
+	is.True(second.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.Equal(begin(t, second, "t2", "t1", 250).Outcome, turns.Granted)
+	is.Equal(begin(t, second, "t3", "t1", 250).Outcome, turns.Exhausted)
+	is.Equal(begin(t, first, "t4", "", 250).Outcome, turns.Exhausted) // releases bind the first home, too
+	is.True(second.End(deadline(t, time.Second), ended("ahead", "", 20)))
+	is.Equal(begin(t, second, "t5", "t1", 250).Outcome, turns.Granted)
+}
+
 // TestBudgetAfterLossOfHome guards against tokens that are granted again after the home
 // that granted them ahead, without a record, is lost.
 func TestBudgetAfterLossOfHome(t *testing.T) {
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -71,3 +71,14 @@
 
 // CopyReply answers CopyArgs.
 type CopyReply struct{}
+
+// ReleaseArgs ask the home named by Writer to grant no more ahead for a program.
+type ReleaseArgs struct {
+	Writer  int64
+	Account string
+	Program string
+}
+
+// ReleaseReply answers ReleaseArgs. Open holds the tokens of the turns that the home
+// granted ahead and that have not ended as far as it knows.
+type ReleaseReply struct{ Open map[string]int }
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -77,11 +77,18 @@
 	}
 	p.mergeLocked(&t)
 	if t.Writer != p.writer {
-		p.programLocked(&t).foreignRecord(r.Offset, t.Ahead)
+		p.programLocked(&t).foreignRecord(r.Offset, t.Writer, t.Ahead)
 	}
 	return true
 }
 
+// verifiedWithin reports whether the store confirmed the state in the last d.
+func (p *partition) verifiedWithin(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.verified) < d
+}
+
 // programLocked returns the program of a turn.
 func (p *partition) programLocked(t *Turn) *program {
 	key := programKey{t.Account, t.Program}
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -22,8 +22,10 @@
 	ahead     int
 	written   int
 	inherited int
-	// foreign is the offset of the last record of another home that was counted.
+	// foreign is the offset of the last record of another home that was counted, and
+	// writer names that home.
 	foreign int64
+	writer  int64
 	// largest is the largest reservation of a turn.
 	largest int
 	// budget is what the caller said last; 0 means no limit.
@@ -70,11 +72,11 @@
 }
 
 // foreignRecord counts what another home may grant as of its record at offset.
-func (g *program) foreignRecord(offset int64, ahead int) {
+func (g *program) foreignRecord(offset, writer int64, ahead int) {
 	if offset < g.foreign {
 		return
 	}
-	g.foreign = offset
+	g.foreign, g.writer = offset, writer
 	// The other home's figure includes what this one may have granted by then.
 	g.inherited = max(ahead-g.written, 0)
 }
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -47,6 +48,19 @@
 	return nil
 }
 
+// errNotWriter: a Release was meant for another home.
+var errNotWriter = errors.New("not the writer that is asked to release")
+
+// Release calls Home.Release.
+func (s *Service) Release(args ReleaseArgs, reply *ReleaseReply) error {
+	got, isWriter := s.home.Release(args)
+	if !isWriter {
+		return errNotWriter
+	}
+	*reply = got
+	return nil
+}
+
 // Copy calls Home.Keep.
 func (s *Service) Copy(args CopyArgs, _ *CopyReply) error {
 	s.home.Keep(args)
