Tell a change of condition at once; judge the store by its last answers; ask for hosts less

Causes: in a fleet of 82 hosts the loss of the store was told with the next heartbeat, up to a second late, and homes moved that much later. One failed or overdue call made a host say that it lost the store, although others were answered.

--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -7,10 +7,16 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
+
+	"cowslipgw/internal/boottime"
 )
 
-// maxDatagram is the largest heartbeat that is read.
-const maxDatagram = 16 << 10
+const (
+	// maxDatagram is the largest heartbeat that is read.
+	maxDatagram = 16 << 10
+	// changeInterval is how often a change of this host's condition is looked for.
+	changeInterval = 100 * time.Millisecond
+)
 
 // Beacon sends and receives heartbeats.
 type Beacon struct {
@@ -37,24 +43,28 @@
 // Close ends Receive.
 func (b *Beacon) Close() error { return b.conn.Close() }
 
-// Run sends heartbeats until ctx ends.
+// Run sends heartbeats until ctx ends: at intervals, and soon after what this host says of
+// itself has changed.
 func (b *Beacon) Run(ctx context.Context) {
+	ticker := time.NewTicker(changeInterval)
+	defer ticker.Stop()
+	var last Condition
+	var sent boottime.Instant
 	for ctx.Err() == nil {
-		b.Send()
-		timer := time.NewTimer(b.table.Interval())
+		if now := b.table.condition(); now != last || boottime.Since(sent) >= b.table.Interval() {
+			last, sent = now, boottime.Now()
+			b.Send()
+		}
 		select {
-		case <-timer.C:
+		case <-ticker.C:
 		case <-ctx.Done():
-			timer.Stop()
 		}
 	}
 }
 
 // Send sends one heartbeat to every other host.
 func (b *Beacon) Send() {
-	leaving, serving := b.table.status()
-	beat := Heartbeat{Host: b.table.self, Leaving: leaving, Serving: serving, StoreLost: !b.table.storeHealthy(),
-		Strained: b.table.strained()}
+	beat := Heartbeat{Host: b.table.self, Condition: b.table.condition()}
 	b.fill(&beat)
 	data, err := cbor.Marshal(beat)
 	if err != nil {
--- a/internal/peers/caller_test.go
+++ b/internal/peers/caller_test.go
@@ -34,7 +34,7 @@
 	go server.Accept(listener)
 	h := Host{ID: "1", Incarnation: 1, Addr: listener.Addr().String()}
 	table := NewTable(Host{ID: "0"}, func() bool { return true })
-	table.Heard(Heartbeat{Host: h, Serving: true})
+	table.Heard(Heartbeat{Host: h, Condition: Condition{Serving: true}})
 	return table, h
 }
 
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -1,8 +1,7 @@
 package peers
 
-// Heartbeat is what a host tells the others several times a second.
-type Heartbeat struct {
-	Host Host `cbor:"1,keyasint"`
+// Condition is what a host says of itself.
+type Condition struct {
 	// Leaving says that the host drains before a planned stop.
 	Leaving bool `cbor:"2,keyasint"`
 	// Serving says that callers may be sent to the host.
@@ -13,6 +12,12 @@
 	// Strained says that the host lacks processor time, so that others should decide for
 	// its partitions and serve its callers.
 	Strained bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Heartbeat is what a host tells the others several times a second.
+type Heartbeat struct {
+	Host Host `cbor:"1,keyasint"`
+	Condition
 	// Usage is what client accounts used at the host since the start of its incarnation,
 	// by the hash of the account's name.
 	Usage map[uint32]Usage `cbor:"4,keyasint,omitempty"`
--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -8,13 +8,8 @@
 	// recorded is when the host's record was last read from the store.
 	recorded boottime.Instant
 	// heard is when the last heartbeat of this incarnation arrived; 0 before the first.
-	heard   boottime.Instant
-	leaving bool
-	serving bool
-	// storeLost says that the host does not reach the store.
-	storeLost bool
-	// strained says that the host lacks processor time.
-	strained bool
+	heard boottime.Instant
+	Condition
 	suspicion
 }
 
--- a/internal/peers/registry.go
+++ b/internal/peers/registry.go
@@ -15,9 +15,16 @@
 const (
 	// renewInterval is how often a host renews its record, about three times within
 	// recordTimeout.
-	renewInterval = 3 * time.Second
-	// pollInterval is how often the records of the hosts are read.
-	pollInterval = 2 * time.Second
+	renewInterval = 12 * time.Second
+	// pollInterval is how often the records of the hosts are read. A host that starts reads
+	// them at once and sends heartbeats, by which the others know it.
+	pollInterval = 10 * time.Second
+	// startInterval is the same for startTime after the first read: hosts that start
+	// together may not find each other's records yet.
+	startInterval = time.Second
+	startTime     = 5 * time.Second
+	// retryInterval is the pause after a failed call.
+	retryInterval = time.Second
 	// storeTimeout limits one call of the registry.
 	storeTimeout = 2 * time.Second
 )
@@ -40,10 +47,11 @@
 // Run renews and polls until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
 	next := int64(-1)
-	var renewed, gap boottime.Instant
+	var renewed, first, gap boottime.Instant
 	for ctx.Err() == nil {
+		var failed error
 		if renewed == 0 || boottime.Since(renewed) >= renewInterval {
-			if r.renew(ctx) == nil {
+			if failed = r.renew(ctx); failed == nil {
 				renewed = boottime.Now()
 			}
 		}
@@ -52,11 +60,21 @@
 		if err != nil || gap == 0 {
 			gap = boottime.Now()
 		}
+		if err == nil && first == 0 {
+			first = boottime.Now()
+		}
 		if boottime.Since(gap) > recordTimeout {
 			r.table.Expire()
 		}
+		pause := pollInterval
+		switch {
+		case failed != nil || err != nil:
+			pause = retryInterval
+		case boottime.Since(first) < startTime:
+			pause = startInterval
+		}
 		select {
-		case <-time.After(pollInterval):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
--- a/internal/peers/serving.go
+++ b/internal/peers/serving.go
@@ -29,8 +29,8 @@
 		able, weak = appendHost(able, weak, t.self, strained)
 	}
 	for _, m := range t.members {
-		if m.serving && !m.leaving && m.alive(now, timeout) {
-			able, weak = appendHost(able, weak, m.host, m.strained)
+		if m.Serving && !m.Leaving && m.alive(now, timeout) {
+			able, weak = appendHost(able, weak, m.host, m.Strained)
 		}
 	}
 	t.mu.Unlock()
--- a/internal/peers/serving_test.go
+++ b/internal/peers/serving_test.go
@@ -17,7 +17,7 @@
 		if n < large {
 			cores = 4
 		}
-		t.Heard(Heartbeat{Host: Host{ID: strconv.Itoa(n), Incarnation: 1, Cores: cores}, Serving: true, Strained: strained(n)})
+		t.Heard(Heartbeat{Host: Host{ID: strconv.Itoa(n), Incarnation: 1, Cores: cores}, Condition: Condition{Serving: true, Strained: strained(n)}})
 	}
 	return t
 }
--- a/internal/peers/suspicion_test.go
+++ b/internal/peers/suspicion_test.go
@@ -18,7 +18,7 @@
 		for range 100 { // 20 s with a heartbeat and a failed call every 200 ms
 			time.Sleep(200 * time.Millisecond)
 			for _, id := range []string{"1", "2", "3"} {
-				table.Heard(Heartbeat{Host: Host{ID: id, Incarnation: 1}, Serving: true})
+				table.Heard(Heartbeat{Host: Host{ID: id, Incarnation: 1}, Condition: Condition{Serving: true}})
 			}
 			if used := uses(table, "2"); used != first {
 				moves++
@@ -48,11 +48,11 @@
 	is := is.New(t)
 	table := newTestTable(4, true)
 	table.Suspect("2")
-	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 1}, Serving: true})
+	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 1}, Condition: Condition{Serving: true}})
 	table.Suspect("2")
-	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 1}, Serving: true})
+	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 1}, Condition: Condition{Serving: true}})
 	is.True(!uses(table, "2"))
-	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 2}, Serving: true})
+	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 2}, Condition: Condition{Serving: true}})
 	is.True(uses(table, "2"))
 }
 
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -22,7 +22,7 @@
 	// silentIntervals is how many heartbeats may be missing before a host counts as silent.
 	silentIntervals = 3.5
 	// recordTimeout is the age at which a record that is no longer renewed is dropped.
-	recordTimeout = 10 * time.Second
+	recordTimeout = 40 * time.Second
 )
 
 // Table holds the known hosts. Its methods are safe for concurrent use.
@@ -67,11 +67,13 @@
 	t.leaving = true
 }
 
-// status returns what this host says of itself.
-func (t *Table) status() (leaving, serving bool) {
+// condition returns what this host says of itself.
+func (t *Table) condition() Condition {
+	c := Condition{StoreLost: !t.storeHealthy(), Strained: t.strained()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.leaving, t.serving && !t.leaving
+	c.Leaving, c.Serving = t.leaving, t.serving && !t.leaving
+	return c
 }
 
 // interval returns the time between heartbeats for a fleet of n hosts.
@@ -135,7 +137,7 @@
 		t.members[b.Host.ID] = m
 	}
 	m.heard = boottime.Now()
-	m.leaving, m.serving, m.storeLost, m.strained = b.Leaving, b.Serving, b.StoreLost, b.Strained
+	m.Condition = b.Condition
 	m.clear(m.heard)
 	return true
 }
@@ -181,7 +183,7 @@
 	defer t.mu.Unlock()
 	now, timeout := boottime.Now(), t.timeoutLocked()
 	for _, m := range t.members {
-		if m.alive(now, timeout) && !m.storeLost {
+		if m.alive(now, timeout) && !m.StoreLost {
 			return true
 		}
 	}
@@ -237,11 +239,11 @@
 		}
 		c := candidate{host: m.host, score: score(key, m.host)}
 		switch {
-		case m.storeLost && partial:
+		case m.StoreLost && partial:
 			c.rank = rankStoreLost
-		case m.leaving:
+		case m.Leaving:
 			c.rank = rankLeaving
-		case m.strained:
+		case m.Strained:
 			c.rank = rankStrained
 		}
 		list = append(list, c)
@@ -268,7 +270,7 @@
 	for _, m := range t.members {
 		if m.alive(now, timeout) {
 			alive++
-			if !m.storeLost {
+			if !m.StoreLost {
 				reach++
 			}
 		}
--- a/internal/peers/table_test.go
+++ b/internal/peers/table_test.go
@@ -14,7 +14,7 @@
 func newTestTable(count int, healthy bool) *Table {
 	t := NewTable(Host{ID: "0"}, func() bool { return healthy })
 	for n := 1; n < count; n++ {
-		t.Heard(Heartbeat{Host: Host{ID: strconv.Itoa(n), Incarnation: 1}, Serving: true})
+		t.Heard(Heartbeat{Host: Host{ID: strconv.Itoa(n), Incarnation: 1}, Condition: Condition{Serving: true}})
 	}
 	return t
 }
@@ -52,7 +52,7 @@
 	for _, id := range firsts(table) {
 		is.True(id != "2")
 	}
-	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 1}, Serving: true})
+	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 1}, Condition: Condition{Serving: true}})
 	is.Equal(firsts(table), before)
 }
 
@@ -64,7 +64,7 @@
 	before := firsts(table)
 	lost := func(ids ...string) {
 		for _, id := range ids {
-			table.Heard(Heartbeat{Host: Host{ID: id, Incarnation: 1}, Serving: true, StoreLost: true})
+			table.Heard(Heartbeat{Host: Host{ID: id, Incarnation: 1}, Condition: Condition{Serving: true, StoreLost: true}})
 		}
 	}
 	lost("3")
@@ -81,7 +81,7 @@
 func TestServing(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(5, true)
-	table.Heard(Heartbeat{Host: Host{ID: "1", Incarnation: 1}, Serving: true, Leaving: true})
+	table.Heard(Heartbeat{Host: Host{ID: "1", Incarnation: 1}, Condition: Condition{Serving: true, Leaving: true}})
 	table.Heard(Heartbeat{Host: Host{ID: "2", Incarnation: 1}})
 	table.members["3"].heard = boottime.Now().Add(-time.Minute)
 	hosts := table.Serving("z")
--- a/internal/storelog/monitor.go
+++ b/internal/storelog/monitor.go
@@ -9,6 +9,10 @@
 // A store that is well answers in a few milliseconds.
 const overdue = 150 * time.Millisecond
 
+// answeredMemory is how long an answer outweighs calls that fail or are overdue. The store
+// may lose single answers while it serves the host.
+const answeredMemory = 200 * time.Millisecond
+
 // Monitor judges from the calls of a store whether this host reaches it. Its methods
 // are safe for concurrent use.
 type Monitor struct {
@@ -16,8 +20,10 @@
 	// pending holds the times at which calls under way become overdue.
 	pending map[uint64]time.Time
 	next    uint64
-	// failing says that the call that ended last failed.
-	failing bool
+	// failing says that the call that ended last failed, and answered is when one was
+	// answered last.
+	failing  bool
+	answered time.Time
 }
 
 // NewMonitor returns a monitor that has seen no call.
@@ -36,17 +42,24 @@
 		defer m.mu.Unlock()
 		delete(m.pending, id)
 		m.failing = !answered
+		if answered {
+			m.answered = time.Now()
+		}
 	}
 }
 
-// Healthy reports whether the last call was answered and none is overdue.
+// Healthy reports whether a call was answered lately, or the last one was answered and none
+// is overdue.
 func (m *Monitor) Healthy() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := time.Now()
+	if now.Sub(m.answered) < answeredMemory {
+		return true
+	}
 	if m.failing {
 		return false
 	}
-	now := time.Now()
 	for _, due := range m.pending {
 		if now.After(due) {
 			return false
