Leave a replica that resets connections at once, and try its return with one request

Programs that prefer the replica of their last turn were sent there up to six times in two seconds and used up their retries; three failures were needed before a host left the replica.

Test: TestResettingReplicaIsLeftAtOnce (failed before).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,6 +114,8 @@
 			return nil, errSlow
 		case errors.Is(err, forward.ErrUnreachable):
 			lease.Done(replica.Unreachable, 1)
+		case errors.Is(err, forward.ErrBroken):
+			lease.Done(replica.Reset, 1)
 		default:
 			lease.Done(replica.Broken, 1)
 		}
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -23,6 +23,9 @@
 	suspectCost = 4
 	// failureCost is the cost of a replica that fails every request.
 	failureCost = 2
+	// preferFailures is the share of failed requests up to which a replica is preferred for
+	// the prefix that it holds.
+	preferFailures = 0.1
 	// coldCost is the cost of a replica that has just started.
 	coldCost = 0.5
 	// jitter spreads hosts with the same view over replicas of the same score.
@@ -54,7 +57,7 @@
 			continue
 		}
 		score := s.score(r, q, now)
-		if now.Before(r.ejectedUntil) {
+		if r.ejected(now) {
 			if fallback == nil || score < fallbackScore {
 				fallback, fallbackScore = r, score
 			}
@@ -102,7 +105,8 @@
 		score += suspectCost
 	}
 	score += failureCost * r.failing(now)
-	if r.record.ID == q.Prefer {
+	// A replica that failed lately may have lost its cache, and may fail again.
+	if r.record.ID == q.Prefer && r.failing(now) < preferFailures {
 		score -= q.Gain
 	}
 	return score + jitter*rand.Float64()
--- a/internal/replica/choose_test.go
+++ b/internal/replica/choose_test.go
@@ -154,3 +154,31 @@
 		}
 	})
 }
+
+// TestResettingReplicaIsLeftAtOnce answers replicas that accept connections and end them
+// while they are down: programs that prefer such a replica must not fail on it again and
+// again, and its return is tried with one request at a time.
+func TestResettingReplicaIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSet(4)
+		prefers := Query{Service: "s", Class: "c", Prefer: "3", Gain: 1}
+		s.Choose(prefers).Done(Reset, 1)
+		for range 20 {
+			lease := s.Choose(prefers)
+			is.True(lease.Record().ID != "3")
+			lease.FirstByte()
+			lease.Done(Answered, 1)
+		}
+		time.Sleep(ejectTime + 3*failuresHalfLife) // preferred again
+		trial := s.Choose(prefers)
+		is.Equal(trial.Record().ID, "3")
+		other := s.Choose(prefers)
+		is.True(other.Record().ID != "3")
+		other.Done(Answered, 1)
+		trial.FirstByte()
+		trial.Done(Answered, 1)
+		is.Equal(s.Choose(prefers).Record().ID, "3")
+		is.Equal(s.Choose(prefers).Record().ID, "3")
+	})
+}
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -26,6 +26,8 @@
 	Refused
 	// Broken: the answer failed or was not whole.
 	Broken
+	// Reset: the connection ended before any byte of an answer.
+	Reset
 	// Unreachable: no connection could be opened.
 	Unreachable
 	// Abandoned: the caller left or the time was up, which may not be the replica's fault.
@@ -70,8 +72,8 @@
 	case Answered:
 		r.succeeded(now)
 		r.sample(l.set.usualLocked(l.class).ratio(now.Sub(l.start)/time.Duration(max(units, 1))), now)
-	case Broken, Unreachable:
-		if r.failed(result == Unreachable, now) {
+	case Broken, Reset, Unreachable:
+		if r.failed(result != Broken, now) {
 			l.set.ejected(r.record, r.ejectPause)
 		}
 	case Abandoned:
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,9 @@
 	// ejectedUntil is when the replica gets work again.
 	ejectedUntil time.Time
 	ejectPause   time.Duration
+	// trial says that the replica seemed to be down and has answered nothing since; it
+	// then gets one request at a time.
+	trial bool
 	// removeAt is when a replica without a record is dropped; zero while it has one.
 	removeAt time.Time
 }
@@ -85,12 +88,13 @@
 	r.slownessAt = now
 }
 
-// failed enters a failure. Unreachable replicas are ejected at once. It reports
-// whether the replica was ejected by it.
-func (r *Replica) failed(unreachable bool, now time.Time) bool {
+// failed enters a failure. Down says that the replica seems to have no process that
+// answers, which ejects it at once. It reports whether the replica was ejected by it.
+func (r *Replica) failed(down bool, now time.Time) bool {
 	r.failures = r.failing(now) + failureGain*(1-r.failing(now))
 	r.failuresAt = now
-	if !unreachable && r.failures < ejectFailures {
+	r.trial = r.trial || down
+	if !down && r.failures < ejectFailures {
 		return false
 	}
 	fresh := now.After(r.ejectedUntil)
@@ -104,9 +108,15 @@
 	return r.failures * math.Exp2(-float64(now.Sub(r.failuresAt))/float64(failuresHalfLife))
 }
 
+// ejected reports whether the replica is to get no work as long as others can.
+func (r *Replica) ejected(now time.Time) bool {
+	return now.Before(r.ejectedUntil) || (r.trial && r.inflight > 0)
+}
+
 // succeeded enters a success.
 func (r *Replica) succeeded(now time.Time) {
 	r.failures = r.failing(now) * (1 - failureGain)
 	r.failuresAt = now
 	r.ejectPause = 0
+	r.trial = false
 }
