Send an append again when its answer is overdue, and read back what took effect

Ruled out: reads, which lose no answers.

Tests: TestLostAnswersDelayLittle (failed before), TestSlowStoreGetsAppendsOnce.

--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -11,4 +11,15 @@
 	done chan struct{}
 	// withdrawn says that the budget turned out to be used by another home.
 	withdrawn bool
+	// readBack says that the store was seen to have the change, and ended that done is
+	// closed. The partition's lock guards both.
+	readBack, ended bool
+}
+
+// endLocked closes done.
+func (c *change) endLocked() {
+	if !c.ended {
+		c.ended = true
+		close(c.done)
+	}
 }
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -46,6 +46,8 @@
 	others Others
 	events *event.Logger
 	parts  [Partitions]*partition
+	// appendTime is the usual time of an append.
+	appendTime average
 	// loads holds a token for each load under way.
 	loads chan struct{}
 }
--- a/internal/turns/home_test.go
+++ b/internal/turns/home_test.go
@@ -34,6 +34,9 @@
 	return true
 }
 
+// hedge is the time after which an append without an answer is sent again, and a margin.
+const hedge = 100 * time.Millisecond
+
 // incarnations numbers the homes of the tests.
 var incarnations atomic.Int64
 
@@ -250,6 +253,73 @@
 	is.Equal(begin(t, h, "t3", "", 300).Outcome, turns.Exhausted)
 }
 
+// lossyLog executes every append and loses the first answer of each two. Late says that
+// the append whose answer is lost is executed when the caller has given up.
+type lossyLog struct {
+	*storelog.Memory
+	late    bool
+	appends atomic.Int64
+}
+
+func (l *lossyLog) Append(ctx context.Context, p storelog.Partition, expected int64, records []storelog.Record) (int64, error) {
+	if l.appends.Add(1)%2 == 0 {
+		return l.Memory.Append(ctx, p, expected, records)
+	}
+	if l.late {
+		time.Sleep(2 * time.Second)
+	}
+	_, _ = l.Memory.Append(ctx, p, expected, records)
+	<-ctx.Done()
+	return -1, storelog.ErrUnknown
+}
+
+// TestLostAnswersDelayLittle answers a store that loses the answers of appends, which it
+// executes at once or late: the end of a turn must not wait for the timeout of the call.
+func TestLostAnswersDelayLittle(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			log := &lossyLog{Memory: storelog.NewMemory(), late: late}
+			h := newHome(log, nil)
+			parent, chain := "", ""
+			for n := range 10 {
+				id := "t" + strconv.Itoa(n)
+				start := time.Now()
+				is.True(h.End(deadline(t, time.Second), ended(id, parent, 10)))
+				is.True(time.Since(start) <= hedge)
+				parent, chain = id, chain+"in-"+id+";out-"+id+"\n"
+			}
+			is.Equal(log.appends.Load(), int64(20)) // each once, and once more to learn that it took effect
+			time.Sleep(5 * time.Second)
+			is.Equal(string(begin(t, newHome(log, nil), "next", parent, 0).Chain), chain)
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
+
+// TestSlowStoreGetsAppendsOnce guards against a store that is slow and gets each append
+// twice, which makes it slower.
+func TestSlowStoreGetsAppendsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := storelog.NewMemory()
+		var appends atomic.Int64
+		log.SetFault(func(call string, _ storelog.Partition) (error, bool) {
+			if call == "append" {
+				appends.Add(1)
+				time.Sleep(240 * time.Millisecond)
+			}
+			return nil, false
+		})
+		h := newHome(log, nil)
+		for n := range 10 {
+			is.True(h.End(deadline(t, 2*time.Second), ended("t"+strconv.Itoa(n), "", 10)))
+		}
+		is.True(appends.Load() <= 12)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestLateReservationDoesNotHideTurn guards against the reservation of a turn that is
 // appended after the turn's end and then is all that a new home reads of it.
 func TestLateReservationDoesNotHideTurn(t *testing.T) {
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -76,9 +76,11 @@
 		return false
 	}
 	p.mergeLocked(&t)
-	if t.Writer != p.writer {
-		p.programLocked(&t).foreignRecord(r.Offset, t.Writer, t.Ahead)
+	if t.Writer == p.writer {
+		p.noteOwnLocked(&t)
+		return true
 	}
+	p.programLocked(&t).foreignRecord(r.Offset, t.Writer, t.Ahead)
 	return true
 }
 
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -32,9 +33,7 @@
 		if len(batch) == 0 {
 			return
 		}
-		attempt, cancel := context.WithTimeout(ctx, appendTimeout)
-		end, err := h.log.Append(attempt, p.where, expected, records)
-		cancel()
+		end, err := h.append(ctx, p.where, expected, records)
 		switch {
 		case err == nil:
 			p.saved(batch, end)
@@ -46,7 +45,7 @@
 				h.appendFailed(p, err, &pause)
 				continue
 			}
-			p.revalidate()
+			p.revalidate(batch)
 		default:
 			h.appendFailed(p, err, &pause)
 		}
@@ -97,15 +96,12 @@
 // record of a turn must be the one with the highest state, since only that one is read
 // when the partition is loaded.
 func (p *partition) dropOvertakenLocked() {
-	kept := make([]*change, 0, len(p.unsaved))
 	for _, c := range p.unsaved {
 		if t := p.turns[c.turn.ID]; t != nil && t.State > c.turn.State {
-			close(c.done)
-			continue
+			c.endLocked()
 		}
-		kept = append(kept, c)
 	}
-	p.unsaved = kept
+	p.dropDoneLocked()
 }
 
 // saved ends the changes of a batch that the store has taken.
@@ -114,12 +110,26 @@
 	defer p.mu.Unlock()
 	p.end, p.verified = max(p.end, end), time.Now()
 	p.troubled = false
-	p.unsaved = p.unsaved[len(batch):]
 	for _, c := range batch {
+		c.savedLocked(p)
+	}
+	p.dropDoneLocked()
+}
+
+// savedLocked ends a change that the store has taken.
+func (c *change) savedLocked(p *partition) {
+	// A change that was read back may stand in the store by an earlier append, which let
+	// this home grant less ahead than the last one does.
+	if !c.ended && !c.readBack {
 		g := p.programLocked(&c.turn)
 		g.ahead, g.written = c.ahead, c.ahead
-		close(c.done)
 	}
+	c.endLocked()
+}
+
+// dropDoneLocked removes the changes that have ended from those to be saved.
+func (p *partition) dropDoneLocked() {
+	p.unsaved = slices.DeleteFunc(slices.Clone(p.unsaved), func(c *change) bool { return c.ended })
 }
 
 // trouble notes that the store does not take appends. It reports whether that is new.
@@ -131,21 +141,37 @@
 	return fresh
 }
 
-// revalidate checks the unsaved reservations against what other homes have written,
-// and withdraws those that the budget no longer holds.
-func (p *partition) revalidate() {
+// revalidate ends the changes of a batch that turned out to be in the store, checks the
+// unsaved reservations against what other homes have written, and withdraws those that
+// the budget no longer holds.
+func (p *partition) revalidate(batch []*change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := make([]*change, 0, len(p.unsaved))
+	for _, c := range batch {
+		if c.readBack {
+			c.savedLocked(p)
+		}
+	}
 	for _, c := range p.unsaved {
 		g := p.programs[programKey{c.turn.Account, c.turn.Program}]
-		if c.budget > 0 && g != nil && g.used() > c.budget && p.turns[c.turn.ID] != nil && p.turns[c.turn.ID].State == Open {
+		if c.ended || c.budget == 0 || g == nil || g.used() <= c.budget {
+			continue
+		}
+		if t := p.turns[c.turn.ID]; t != nil && t.State == Open {
 			p.removeLocked(c.turn.ID)
 			c.withdrawn = true
-			close(c.done)
-			continue
+			c.endLocked()
+		}
+	}
+	p.dropDoneLocked()
+}
+
+// noteOwnLocked marks the unsaved change that a record of this home is of. Its append took
+// effect although the answer was lost.
+func (p *partition) noteOwnLocked(t *Turn) {
+	for _, c := range p.unsaved {
+		if c.turn.ID == t.ID && c.turn.State == t.State {
+			c.readBack = true
 		}
-		kept = append(kept, c)
 	}
-	p.unsaved = kept
 }
