Start buckets of an unknown past with part of the bound's slack

A bucket whose past is unknown started with a tenth of a window, five requests of a small account. Now it also gets a quarter of the bound's slack, and both figures come from the settings in place of a constant. A bucket's depth is now its burst and 16 requests at most: with 30, a small account that is pressed before and after a loss of all hosts could pass the bound (found by the new test).

Test: TestRateOverLossOfAllHosts.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -91,7 +91,7 @@
 	p.table.SetStrained(p.strain.Strained)
 	store := platform.NewStore(s.Store, monitor)
 	p.registry = peers.NewRegistry(p.table, store, events)
-	limiter := quota.NewLimiter(s.RateWindow, p.table.Counts)
+	limiter := quota.NewLimiter(quota.Bound{Window: s.RateWindow, Excess: s.RateExcess, Slack: s.RateSlack}, p.table.Counts)
 	caller := peers.NewCaller(p.table)
 	p.limiter = limiter
 	p.client = turns.NewClient(p.table, caller)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -101,7 +101,7 @@
 		w.replicas.Put(replica.Record{ID: "r" + strconv.Itoa(n), Service: "s", Addr: strings.TrimPrefix(server.URL, "http://"), Zone: "z", Slots: 8})
 	}
 	one := func() int { return 1 }
-	limiter := quota.NewLimiter(5*time.Second, alone{}.counts)
+	limiter := quota.NewLimiter(quota.Bound{Window: 5 * time.Second, Excess: 0.1}, alone{}.counts)
 	config := gateway.NewConfig(w.source, freshness, one, limiter.Configure, events)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// startShare of the tokens of a window is in a bucket whose past is unknown. It is
-	// what the bound allows beyond rate and burst.
-	startShare = 0.1
+	// startSlack is the part of the bound's slack that a bucket whose past is unknown
+	// starts with. The rest covers owners that do not hear of each other for a moment.
+	startSlack = 0.25
 	// commitShare of the rate may be committed to programs. The rest covers programs
 	// that need more than expected.
 	commitShare = 0.87
@@ -20,10 +20,10 @@
 	startLevel = 0.2
 	// urgentReserve of the burst is left to programs of the most urgent rank.
 	urgentReserve = 0.25
-	// minDepth is the least number of requests that a bucket can hold, as far as rate and
-	// burst of a window allow. A program needs about that many more than a small rate
-	// refills while it runs.
-	minDepth = 30
+	// extraDepth is what a bucket can hold beyond the burst, in requests, as far as rate and
+	// burst of a window allow. A program of eleven turns with its tools needs about that
+	// many more than a small rate refills while it runs.
+	extraDepth = 16
 	// programsDepth is how many programs of the expected size a bucket may let in at
 	// once, as far as rate and burst of a window allow.
 	programsDepth = 2
@@ -34,9 +34,8 @@
 	// version is the configuration that rate and burst are from.
 	version     int64
 	rate, burst float64
-	// window is the time in which no more than its rate and one burst may be admitted.
-	window time.Duration
-	level  float64
+	bound       Bound
+	level       float64
 	// admitted and committed count requests in the window: those let through, and those
 	// that the programs let in are expected to need.
 	admitted, committed ledger
@@ -78,10 +77,10 @@
 }
 
 // total is what the account may use in a window.
-func (b *bucket) total() float64 { return b.rate*b.window.Seconds() + b.burst }
+func (b *bucket) total() float64 { return b.rate*b.bound.Window.Seconds() + b.burst }
 
 // depth is the number of requests that the bucket can hold.
-func (b *bucket) depth() float64 { return max(b.burst, min(b.total(), minDepth)) }
+func (b *bucket) depth() float64 { return min(b.total(), b.burst+extraDepth) }
 
 // programDepth is the number of requests that may be committed to programs at once, if
 // a program is expected to need cost.
@@ -92,8 +91,8 @@
 func (b *bucket) refill(now boottime.Instant, f fleet) {
 	seconds := max(now.Sub(b.last).Seconds(), 0)
 	b.last = now
-	b.admitted.advance(now, b.window)
-	b.committed.advance(now, b.window)
+	b.admitted.advance(now, b.bound.Window)
+	b.committed.advance(now, b.bound.Window)
 	gained := seconds * b.rate * f.part()
 	b.level = math.Min(b.level+gained, b.depth()*f.part())
 	b.uncommitted = math.Min(b.uncommitted+commitShare*gained, b.programDepth(b.cost)*f.part())
@@ -166,10 +165,10 @@
 	missing := 1 - b.level
 	rate := b.rate * f.part()
 	total := b.total() * f.part()
-	least := b.admitted.room(total-1, b.window)
+	least := b.admitted.room(total-1, b.bound.Window)
 	if r.Start {
 		missing = max(missing, -b.uncommitted/commitShare, startLevel*b.burst*f.part()-b.level)
-		least = max(least, b.committed.room(max(total-r.Cost, 0), b.window))
+		least = max(least, b.committed.room(max(total-r.Cost, 0), b.bound.Window))
 	}
 	if !owner {
 		missing = max(missing, (1-b.own)*float64(f.alive))
@@ -199,19 +198,19 @@
 // configure sets the rate and burst of a version of the configuration, unless a newer
 // one is known. A bucket whose past is unknown starts with what the bound allows beyond
 // them; a changed one keeps its level within the new depth.
-func (b *bucket) configure(version int64, rate, burst float64, window time.Duration, now boottime.Instant) {
+func (b *bucket) configure(version int64, rate, burst float64, bound Bound, now boottime.Instant) {
 	if version < b.version {
 		return
 	}
 	b.version = version
 	first := b.rate == 0
-	b.rate, b.burst, b.window = rate, burst, window
+	b.rate, b.burst, b.bound = rate, burst, bound
 	if first {
-		b.level = min(burst, startShare*b.total())
+		b.level = bound.Excess*b.total() + startSlack*bound.Slack
 		b.uncommitted = burst
 		b.last = now
-		b.admitted.advance(now, window)
-		b.committed.advance(now, window)
+		b.admitted.advance(now, bound.Window)
+		b.committed.advance(now, bound.Window)
 	}
 	b.level = min(b.level, b.depth())
 	b.uncommitted = min(b.uncommitted, b.programDepth(b.cost))
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -14,8 +14,12 @@
 	testRate   = 50.0
 	testBurst  = 50.0
 	testWindow = 5 * time.Second
+	testExcess = 0.1
 )
 
+// testBound is the bound of the tests. Without slack, the tolerance is what they check.
+var testBound = Bound{Window: testWindow, Excess: testExcess}
+
 // testFleet is a fleet of buckets of one account on a virtual clock.
 type testFleet struct {
 	now     boottime.Instant
@@ -26,7 +30,7 @@
 	f := &testFleet{now: boottime.Instant(time.Hour)}
 	for range hosts {
 		b := newBucket()
-		b.configure(1, testRate, testBurst, testWindow, f.now)
+		b.configure(1, testRate, testBurst, testBound, f.now)
 		f.buckets = append(f.buckets, b)
 	}
 	return f
@@ -67,7 +71,7 @@
 			f.gossip(all)
 		}
 	}
-	bound := (testRate*testWindow.Seconds() + testBurst) * (1 + startShare)
+	bound := (testRate*testWindow.Seconds() + testBurst) * (1 + testExcess)
 	is.True(float64(admitted) <= bound)
 	is.True(float64(admitted) >= testRate*testWindow.Seconds())
 }
@@ -87,7 +91,7 @@
 			}
 		}
 	}
-	is.True(float64(admitted) <= (testRate*testWindow.Seconds()+testBurst)*(1+startShare))
+	is.True(float64(admitted) <= (testRate*testWindow.Seconds()+testBurst)*(1+testExcess))
 	is.True(admitted > 100)
 }
 
@@ -170,3 +174,48 @@
 	is.True(whole >= begun*4/10)
 	is.True(whole > wholePlain)
 }
+
+// TestRateOverLossOfAllHosts answers the loss of all hosts: accounts that keep to their
+// rate must not be refused when their callers come back together, and accounts that do
+// not must not get more than the bound in the windows around the loss.
+func TestRateOverLossOfAllHosts(t *testing.T) {
+	is := is.New(t)
+	bound := Bound{Window: testWindow, Excess: testExcess, Slack: 20}
+	for _, rate := range []float64{4, 8, 50, 400} {
+		now := boottime.Instant(time.Hour)
+		newBucketNow := func() *bucket {
+			b := newBucket()
+			b.configure(1, rate, rate, bound, now)
+			return b
+		}
+		b := newBucketNow()
+		now = now.Add(10 * time.Second)
+		var admitted []boottime.Instant
+		most := 0
+		press := func(d time.Duration) {
+			for end := now.Add(d); now < end; now = now.Add(time.Millisecond) {
+				if b.take(now, oneHost, Request{}, true) {
+					admitted = append(admitted, now)
+				}
+				inWindow := 0
+				for i := len(admitted) - 1; i >= 0 && now.Sub(admitted[i]) < testWindow; i-- {
+					inWindow++
+				}
+				most = max(most, inWindow)
+			}
+		}
+		press(6 * time.Second)
+		now = now.Add(time.Second) // no host runs
+		b = newBucketNow()
+		back := 0
+		for range 5 { // callers of a small account
+			if b.take(now, oneHost, Request{}, true) {
+				back++
+				admitted = append(admitted, now)
+			}
+		}
+		is.Equal(back, 5)
+		press(6 * time.Second)
+		is.True(float64(most) <= (rate*testWindow.Seconds()+rate)*(1+bound.Excess)+bound.Slack)
+	}
+}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -18,16 +18,15 @@
 type Limiter struct {
 	// counts returns the number of known and of live hosts.
 	counts func() (known, alive int)
-	// window is the time over which the bound on an account counts.
-	window time.Duration
+	bound  Bound
 
 	mu      sync.Mutex
 	buckets map[uint32]*bucket
 }
 
 // NewLimiter returns a limiter.
-func NewLimiter(window time.Duration, counts func() (known, alive int)) *Limiter {
-	return &Limiter{counts: counts, window: window, buckets: make(map[uint32]*bucket)}
+func NewLimiter(bound Bound, counts func() (known, alive int)) *Limiter {
+	return &Limiter{counts: counts, bound: bound, buckets: make(map[uint32]*bucket)}
 }
 
 // hashOf names an account in heartbeats.
@@ -41,7 +40,7 @@
 	defer l.mu.Unlock()
 	for _, account := range table.Accounts() {
 		if account.Rate > 0 {
-			l.bucketLocked(hashOf(account.Name)).configure(table.Version, account.Rate, max(account.Burst, 1), l.window, now)
+			l.bucketLocked(hashOf(account.Name)).configure(table.Version, account.Rate, max(account.Burst, 1), l.bound, now)
 		}
 	}
 }
@@ -55,7 +54,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucketLocked(hashOf(args.Account))
-	b.configure(args.Version, args.Rate, args.Burst, l.window, now)
+	b.configure(args.Version, args.Rate, args.Burst, l.bound, now)
 	if b.take(now, f, args.Request, owner) {
 		return TakeReply{Admitted: true}
 	}
--- a/internal/quota/small_test.go
+++ b/internal/quota/small_test.go
@@ -15,7 +15,7 @@
 func newSmallBucket(rate float64) (*bucket, boottime.Instant) {
 	now := boottime.Instant(time.Hour)
 	b := newBucket()
-	b.configure(1, rate, rate, testWindow, now)
+	b.configure(1, rate, rate, testBound, now)
 	return b, now.Add(10 * time.Second)
 }
 
