Count what each home may grant by itself; grant nothing on copies at other hosts

With three homes that alternate, one figure for what all others may grant lost track of one of them. A turn that had ended in memory freed its share of the allowance before the store had the turn, so a home could grant anew again and again in an outage and then be lost. And two homes could both grant by copies at other hosts. Ruled out: records lost by the store.

Now each record holds the allowance of every home by its writer, a turn counts against the allowance until it is stored, and without the store only the allowance is granted: what has to be agreed goes through the store alone. A home whose store is away for half a second refuses turns that need a record at once, and drops reservations that it could not keep. Homes answer before their callers give up, so that waiting for the store is no silence.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -19,7 +19,6 @@
 	TurnsLoaded       = define(1730, logrus.InfoLevel, "turns of a partition loaded")
 	TurnsLoadFailed   = define(1731, logrus.WarnLevel, "turns of a partition could not be loaded")
 	TurnRecordInvalid = define(1732, logrus.ErrorLevel, "turn record is invalid and was ignored")
-	TurnUnsaved       = define(1733, logrus.WarnLevel, "reservation of a turn kept by other hosts until the store takes it")
 	TurnsUnsaved      = define(1736, logrus.WarnLevel, "store does not take the turns of a partition")
 	TurnEndLate       = define(1734, logrus.WarnLevel, "answer not completed, its turn could not be kept in time")
 	TurnEndFailed     = define(1735, logrus.ErrorLevel, "turn could not be kept")
--- a/internal/turns/append.go
+++ b/internal/turns/append.go
@@ -44,18 +44,22 @@
 	go try()
 	hedge := time.NewTimer(max(hedgeMin, hedgeMultiple*h.appendTime.mean()))
 	defer hedge.Stop()
-	var last appended
+	var failure error
 	for begun, ended := 1, 0; ended < begun; {
 		select {
 		case <-hedge.C:
 			begun++
 			go try()
-		case last = <-outcomes:
+		case got := <-outcomes:
 			ended++
-			if last.err == nil || errors.Is(last.err, storelog.ErrConflict) {
-				return last.end, last.err
+			if got.err == nil || errors.Is(got.err, storelog.ErrConflict) {
+				return got.end, got.err
+			}
+			// A refusal of one says nothing of the other.
+			if failure == nil || errors.Is(failure, storelog.ErrUnavailable) {
+				failure = got.err
 			}
 		}
 	}
-	return last.end, last.err
+	return -1, failure
 }
--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -11,6 +11,9 @@
 	done chan struct{}
 	// withdrawn says that the budget turned out to be used by another home.
 	withdrawn bool
+	// sent says that an append of the change is under way or has an unknown outcome, and
+	// unknown that one has ended with an unknown outcome.
+	sent, unknown bool
 	// readBack says that the store was seen to have the change, and ended that done is
 	// closed. The partition's lock guards both.
 	readBack, ended bool
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -4,25 +4,21 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"cowslipgw/internal/peers"
 )
 
 const (
 	// maxCandidates is the number of homes that are tried for one call.
 	maxCandidates = 3
-	// homeTimeout limits one call of a home: an append of a few milliseconds, or the
-	// delay until copies are made and their round trip.
+	// homeTimeout limits one call of a home: an append of a few milliseconds.
 	homeTimeout = 400 * time.Millisecond
+	// answerMargin is how long before that the home answers in any case, so that one which
+	// waits for the store is not taken for one that is silent.
+	answerMargin = 100 * time.Millisecond
 	// locateTimeout limits the search for a turn at all hosts.
 	locateTimeout = 300 * time.Millisecond
-	// copyTimeout limits one copy of changes at another host.
-	copyTimeout = 200 * time.Millisecond
 	// releaseTimeout limits the question to the home before, which may lack processor time.
 	releaseTimeout = 150 * time.Millisecond
-	// wantedCopies is how many other hosts must hold a change that the store lacks.
-	wantedCopies = 2
 )
 
 // Client reaches the homes of programs. It implements Others.
@@ -173,29 +169,6 @@
 	return LocateReply{Outcome: UnknownParent}
 }
 
-// Copy implements Others.
-func (c *Client) Copy(ctx context.Context, args CopyArgs) bool {
-	self := c.hosts.Self().ID
-	var others []peers.Host
-	for _, h := range c.hosts.Candidates(partitionKey(args.Partition), maxCandidates+1) {
-		if h.ID != self && len(others) < wantedCopies {
-			others = append(others, h)
-		}
-	}
-	if len(others) == 0 {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
-	for _, h := range others {
-		group.Go(func() error {
-			return c.caller.Call(ctx, h, ServiceName+".Copy", args, &CopyReply{})
-		})
-	}
-	return group.Wait() == nil
-}
-
 // Release implements Others. It also asks a host to which calls have failed.
 func (c *Client) Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, bool) {
 	for _, h := range c.hosts.Others() {
--- a/internal/turns/doc.go
+++ b/internal/turns/doc.go
@@ -5,5 +5,5 @@
 // partition: it holds the turns in memory and appends each change on condition that
 // the partition has not grown meanwhile. Any host may act as home at any time; two
 // homes at once cost conflicts, never a wrong decision. While the store does not
-// answer, other hosts keep copies of the changes.
+// answer, a home grants only what its records let it grant ahead.
 package turns
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -13,13 +13,9 @@
 )
 
 const (
-	// copyDelay is how long a change waits for the store before other hosts copy it. An
-	// append takes a few milliseconds when the store is well.
-	copyDelay = 40 * time.Millisecond
-	// maxUnverified is how long after the store's last confirmation copies are enough for
-	// a reservation. Another home may have granted meanwhile, so an older state may not
-	// grant without the store; keys are usable for little longer.
-	maxUnverified = 4 * time.Second
+	// troubleLimit is how long the store may not take a partition's turns before turns that
+	// need a record are refused at once.
+	troubleLimit = 500 * time.Millisecond
 	// exhaustedAge is how long after the store's last confirmation a spent budget needs no
 	// further one. Programs without end ask several times a second.
 	exhaustedAge = 300 * time.Millisecond
@@ -27,9 +23,6 @@
 
 // Others are the homes at other hosts.
 type Others interface {
-	// Copy keeps changes at other hosts. It reports whether enough hosts have them to
-	// survive the loss of this one.
-	Copy(ctx context.Context, args CopyArgs) bool
 	// Release asks the home that is named by writer to grant no more ahead. It reports
 	// whether that home answered.
 	Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, bool)
@@ -82,7 +75,10 @@
 	if c == nil {
 		return reply
 	}
-	if !h.waitReserved(ctx, p, c) {
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		p.withdraw(c)
 		return BeginReply{Outcome: Unavailable}
 	}
 	p.mu.Lock()
@@ -93,6 +89,19 @@
 	return reply
 }
 
+// withdraw drops a reservation that was not kept in time, unless the store may have it.
+// One that the store may have counts until the program expires.
+func (p *partition) withdraw(c *change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.sent || c.ended {
+		return
+	}
+	p.removeLocked(c.turn.ID)
+	c.endLocked()
+	p.dropDoneLocked()
+}
+
 // decide applies the reservation of a turn to the state, if its budget holds it.
 func (h *Home) decide(p *partition, args BeginArgs) (BeginReply, *change) {
 	p.mu.Lock()
@@ -129,13 +138,17 @@
 	if g.grantAhead(args.Turn, args.MaxTokens) {
 		return reply, nil
 	}
+	// Without a change that waits for the store this one finds out whether it is back.
+	if p.writing && p.troubledFor(troubleLimit) {
+		return BeginReply{Outcome: Unavailable}, nil
+	}
 	c := &change{budget: args.Budget, done: make(chan struct{}), turn: t}
 	h.enterLocked(p, c)
 	return reply, c
 }
 
 // End settles a turn. It reports whether the store has it: any number of hosts may be
-// lost at once, so copies at hosts do not count.
+// lost at once, so a turn that only hosts hold is not kept.
 func (h *Home) End(ctx context.Context, t Turn) bool {
 	p := h.parts[PartitionOf(t.Account, t.Program)]
 	if !h.ensureLoaded(ctx, p) {
@@ -164,49 +177,6 @@
 	}
 }
 
-// waitReserved waits until the store or enough other hosts have a reservation.
-func (h *Home) waitReserved(ctx context.Context, p *partition, c *change) bool {
-	p.mu.Lock()
-	troubled := p.troubled
-	p.mu.Unlock()
-	if !troubled {
-		timer := time.NewTimer(copyDelay)
-		defer timer.Stop()
-		select {
-		case <-c.done:
-			return true
-		case <-ctx.Done():
-			return false
-		case <-timer.C:
-		}
-		p.trouble()
-	}
-	p.mu.Lock()
-	unverified := time.Since(p.verified)
-	p.mu.Unlock()
-	// Without copies the channel stays nil, and only the store can keep the reservation.
-	var copied <-chan bool
-	if unverified <= maxUnverified {
-		enough := make(chan bool, 1)
-		copied = enough
-		go func() { enough <- h.others.Copy(ctx, CopyArgs{Partition: p.id, Turns: []Turn{c.turn}}) }()
-	}
-	for {
-		select {
-		case <-c.done:
-			return true
-		case <-ctx.Done():
-			return false
-		case enough := <-copied:
-			if enough {
-				h.events.Log(event.TurnUnsaved, event.Fields{"turn": c.turn.ID, "partition": p.id})
-				return true
-			}
-			copied = nil
-		}
-	}
-}
-
 // Locate looks for a turn of an account in all partitions that are loaded here. It
 // reads the newest records of those that owns reports first, and is certain of them.
 func (h *Home) Locate(ctx context.Context, args LocateArgs, owns func(partition int) bool) LocateReply {
@@ -228,22 +198,6 @@
 	return reply
 }
 
-// Keep holds copies of another home's changes.
-func (h *Home) Keep(args CopyArgs) {
-	if args.Partition < 0 || args.Partition >= Partitions {
-		return
-	}
-	p := h.parts[args.Partition]
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, t := range args.Turns {
-		if old := p.copies[t.ID]; old == nil || old.turn.State <= t.State {
-			p.copies[t.ID] = &keptCopy{turn: t, since: now}
-		}
-	}
-}
-
 // Warm loads the partitions for which wanted reports true.
 func (h *Home) Warm(ctx context.Context, wanted func(partition int) bool) {
 	for _, p := range h.parts {
--- a/internal/turns/load.go
+++ b/internal/turns/load.go
@@ -19,13 +19,11 @@
 	maxLoads = 2
 )
 
-// ensureLoaded waits until the partition is loaded, and takes up copies that were kept
-// for another home. The load itself goes on when ctx ends: callers give up sooner than a
+// ensureLoaded waits until the partition is loaded. The load itself goes on when ctx ends: callers give up sooner than a
 // large partition is read, and each would begin anew.
 func (h *Home) ensureLoaded(ctx context.Context, p *partition) bool {
 	p.mu.Lock()
 	loaded := p.loaded
-	copies := len(p.copies)
 	p.mu.Unlock()
 	if !loaded {
 		select {
@@ -36,9 +34,6 @@
 		loaded = p.loaded
 		p.mu.Unlock()
 	}
-	if loaded && copies > 0 {
-		h.takeCopies(p)
-	}
 	return loaded
 }
 
@@ -72,18 +67,6 @@
 	return end
 }
 
-// takeCopies makes changes of this host of the copies that the store may lack.
-func (h *Home) takeCopies(p *partition) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id, kept := range p.copies {
-		delete(p.copies, id)
-		if old := p.turns[id]; old == nil || old.State < kept.turn.State {
-			h.enterLocked(p, &change{turn: kept.turn, done: make(chan struct{})})
-		}
-	}
-}
-
 // load reads the whole partition.
 func (h *Home) load(p *partition) error {
 	p.loading.Lock()
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -63,15 +63,6 @@
 	Certain uint64
 }
 
-// CopyArgs ask a host to keep changes that the store has not taken yet.
-type CopyArgs struct {
-	Partition int
-	Turns     []Turn
-}
-
-// CopyReply answers CopyArgs.
-type CopyReply struct{}
-
 // ReleaseArgs ask the home named by Writer to grant no more ahead for a program.
 type ReleaseArgs struct {
 	Writer  int64
@@ -79,6 +70,6 @@
 	Program string
 }
 
-// ReleaseReply answers ReleaseArgs. Open holds the tokens of the turns that the home
-// granted ahead and that have not ended as far as it knows.
+// ReleaseReply answers ReleaseArgs. Open holds the tokens of the turns that the home knows
+// and the store may lack.
 type ReleaseReply struct{ Open map[string]int }
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -39,20 +39,12 @@
 	// unsaved changes are appended in their order.
 	unsaved []*change
 	writing bool
-	// troubled says that the last append failed or is overdue.
-	troubled bool
-	// copies are kept for other homes, by turn.
-	copies map[string]*keptCopy
-}
-
-// keptCopy is a change of another home that the store may not have.
-type keptCopy struct {
-	turn  Turn
-	since time.Time
+	// troubled is when appends began to fail; zero while they succeed.
+	troubled time.Time
 }
 
 func newPartition(id, partsPerTopic int, writer int64) *partition {
-	p := &partition{id: id, writer: writer, where: partitionName(id, partsPerTopic), copies: make(map[string]*keptCopy)}
+	p := &partition{id: id, writer: writer, where: partitionName(id, partsPerTopic)}
 	p.clearLocked()
 	return p
 }
@@ -76,11 +68,12 @@
 		return false
 	}
 	p.mergeLocked(&t)
+	delete(p.programLocked(&t).open, t.ID)
 	if t.Writer == p.writer {
 		p.noteOwnLocked(&t)
 		return true
 	}
-	p.programLocked(&t).foreignRecord(r.Offset, t.Writer, t.Ahead)
+	p.programLocked(&t).foreignRecord(r.Offset, p.writer, t.Allowances)
 	return true
 }
 
@@ -110,7 +103,10 @@
 		return false
 	}
 	g := p.programLocked(t)
-	delete(g.open, t.ID)
+	if _, ahead := g.open[t.ID]; ahead {
+		// Until the store has the turn, its tokens count against the allowance.
+		g.open[t.ID] = t.Tokens
+	}
 	if old != nil {
 		g.tokens -= old.Tokens
 	}
@@ -161,14 +157,16 @@
 	return chain, true
 }
 
-// locate looks for a whole turn of an account, also among the copies.
+// troubledFor reports whether appends have failed for at least d. The caller holds mu.
+func (p *partition) troubledFor(d time.Duration) bool {
+	return !p.troubled.IsZero() && time.Since(p.troubled) >= d
+}
+
+// locate looks for a whole turn of an account.
 func (p *partition) locate(args LocateArgs) LocateReply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.turns[args.Turn]
-	if kept := p.copies[args.Turn]; kept != nil && (t == nil || t.State != Ended) {
-		t = &kept.turn
-	}
 	if t == nil || t.State != Ended {
 		return LocateReply{Outcome: UnknownParent}
 	}
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -1,5 +1,7 @@
 package turns
 
+import "maps"
+
 // aheadShare of the largest turn of a program is reserved ahead: the next turn of a line
 // then begins without an append.
 const aheadShare = 1.5
@@ -9,23 +11,23 @@
 
 // program sums up the turns of one program.
 //
-// Each record of the program says how many tokens its home may grant ahead. A home that
-// takes over counts them as used, since it cannot know what the home before it granted.
+// A home may grant an allowance of tokens without a record. Each record holds the
+// allowances of all homes that its writer knows, so the last record of a program holds
+// all of them. Homes count the allowances of others as used, since they cannot know what
+// those have granted.
 type program struct {
 	turns map[string]struct{}
 	// tokens are used or reserved by all records.
 	tokens int
-	// open are the reservations of turns that this home granted ahead.
+	// open are the tokens of turns that were granted without a record and that the store
+	// does not have yet: reserved ones, and used ones of turns that have ended since.
 	open map[string]int
-	// ahead is what this home may grant ahead by its last record, written is what that
-	// record says, and inherited is what other homes may have granted.
-	ahead     int
-	written   int
-	inherited int
-	// foreign is the offset of the last record of another home that was counted, and
-	// writer names that home.
-	foreign int64
-	writer  int64
+	// ahead is the allowance of this home by its last record.
+	ahead int
+	// foreign holds the allowances of other homes by the last record of another home, which
+	// has the offset foreignOffset.
+	foreign       map[int64]int
+	foreignOffset int64
 	// largest is the largest reservation of a turn.
 	largest int
 	// budget is what the caller said last; 0 means no limit.
@@ -35,20 +37,25 @@
 }
 
 func newProgram() *program {
-	return &program{turns: make(map[string]struct{}), open: make(map[string]int), foreign: -1}
+	return &program{turns: make(map[string]struct{}), open: make(map[string]int), foreignOffset: -1}
 }
 
-// granted sums up the open reservations that were granted ahead.
-func (g *program) granted() int {
-	sum := 0
-	for _, tokens := range g.open {
-		sum += tokens
+// granted sums up what was granted without a record.
+func (g *program) granted() int { return sum(g.open) }
+
+// inherited sums up what other homes may have granted without a record.
+func (g *program) inherited() int { return sum(g.foreign) }
+
+func sum[K comparable](tokens map[K]int) int {
+	total := 0
+	for _, n := range tokens {
+		total += n
 	}
-	return sum
+	return total
 }
 
 // used returns the tokens that count against the budget.
-func (g *program) used() int { return g.tokens + g.inherited + g.granted() }
+func (g *program) used() int { return g.tokens + g.inherited() + g.granted() }
 
 // grantAhead reserves a turn's tokens without a record, if this home may.
 func (g *program) grantAhead(turn string, tokens int) bool {
@@ -60,23 +67,33 @@
 	return true
 }
 
-// nextAhead returns what a record that is written now lets this home grant ahead. Until
-// the record is saved, no more than before may be granted.
+// nextAhead returns the allowance of this home by a record that is written now. Until the
+// record is saved, no more than before may be granted.
 func (g *program) nextAhead() int {
 	next := g.granted() + int(aheadShare*float64(g.largest))
 	if g.budget > 0 {
-		next = min(next, max(g.budget-g.tokens-g.inherited, g.granted()))
+		next = min(next, max(g.budget-g.tokens-g.inherited(), g.granted()))
 	}
 	g.ahead = min(g.ahead, next)
 	return next
 }
 
-// foreignRecord counts what another home may grant as of its record at offset.
-func (g *program) foreignRecord(offset, writer int64, ahead int) {
-	if offset < g.foreign {
+// allowances returns what a record says that is written by a home with an allowance.
+func (g *program) allowances(writer int64, ahead int) map[int64]int {
+	all := make(map[int64]int, len(g.foreign)+1)
+	maps.Copy(all, g.foreign)
+	if ahead > 0 {
+		all[writer] = ahead
+	}
+	return all
+}
+
+// foreignRecord takes over the allowances of a record of another home.
+func (g *program) foreignRecord(offset, self int64, allowances map[int64]int) {
+	if offset < g.foreignOffset {
 		return
 	}
-	g.foreign, g.writer = offset, writer
-	// The other home's figure includes what this one may have granted by then.
-	g.inherited = max(ahead-g.written, 0)
+	g.foreignOffset = offset
+	g.foreign = maps.Clone(allowances)
+	delete(g.foreign, self)
 }
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -5,28 +5,44 @@
 	"maps"
 )
 
-// release asks the home before this one what it granted ahead for a program, so that
+// release asks the other homes what they granted without a record for a program, so that
 // only that counts against the budget. It reports whether more is known now.
 func (h *Home) release(ctx context.Context, p *partition, args BeginArgs) bool {
 	key := programKey{args.Account, args.Program}
 	p.mu.Lock()
 	g := p.programs[key]
-	if g == nil || g.inherited == 0 {
-		p.mu.Unlock()
-		return false
+	var foreign map[int64]int
+	offset := int64(0)
+	if g != nil {
+		foreign, offset = maps.Clone(g.foreign), g.foreignOffset
 	}
-	writer, foreign := g.writer, g.foreign
 	p.mu.Unlock()
-	reply, answered := h.others.Release(ctx, ReleaseArgs{Writer: writer, Account: args.Account, Program: args.Program})
-	if !answered {
-		return false
+	released := false
+	for writer, allowance := range foreign {
+		if allowance == 0 {
+			continue
+		}
+		reply, answered := h.others.Release(ctx, ReleaseArgs{Writer: writer, Account: args.Account, Program: args.Program})
+		if !answered {
+			continue
+		}
+		if !p.released(key, g, offset, writer, reply) {
+			return released
+		}
+		released = true
 	}
+	return released
+}
+
+// released enters that a home has given up its allowance. It reports false if another home
+// has written since, and so may have got a new one.
+func (p *partition) released(key programKey, g *program, offset, writer int64, reply ReleaseReply) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.programs[key] != g || g.foreign != foreign {
-		return false // another home has written since
+	if p.programs[key] != g || g.foreignOffset != offset {
+		return false
 	}
-	g.inherited = 0
+	delete(g.foreign, writer)
 	for turn, tokens := range reply.Open {
 		if p.turns[turn] == nil {
 			g.open[turn] = tokens
@@ -35,8 +51,8 @@
 	return true
 }
 
-// Release ends the grants ahead for a program that this home may have made by its last
-// record. It reports whether it is the writer that is asked.
+// Release ends this home's allowance for a program, and names the turns that the store may
+// lack. It reports whether this home is the writer that is asked.
 func (h *Home) Release(args ReleaseArgs) (ReleaseReply, bool) {
 	p := h.parts[PartitionOf(args.Account, args.Program)]
 	p.mu.Lock()
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"errors"
-	"time"
 )
 
-// serveTimeout limits the work on a call of another host, which gives up sooner.
-const serveTimeout = 5 * time.Second
+// serveTimeout limits the work on a call of another host, which waits a little longer.
+const serveTimeout = homeTimeout - answerMargin
 
 // ServiceName is the name under which Service is registered with net/rpc.
 const ServiceName = "Turns"
@@ -60,9 +59,3 @@
 	*reply = got
 	return nil
 }
-
-// Copy calls Home.Keep.
-func (s *Service) Copy(args CopyArgs, _ *CopyReply) error {
-	s.home.Keep(args)
-	return nil
-}
--- a/internal/turns/sweep.go
+++ b/internal/turns/sweep.go
@@ -9,15 +9,13 @@
 )
 
 const (
-	// sweepInterval is how often expired turns and old copies are looked for.
+	// sweepInterval is how often expired turns are looked for.
 	sweepInterval = 2 * time.Second
-	// copyAge is the age at which a copy is compared with the store.
-	copyAge = 3 * time.Second
 	// expireBatch is the most turns that one sweep of a partition removes.
 	expireBatch = 200
 )
 
-// Sweep removes expired turns and saves copies whose home has gone, until ctx ends.
+// Sweep removes expired turns until ctx ends.
 // Owns reports whether this host is the first candidate for a partition.
 func (h *Home) Sweep(ctx context.Context, owns func(partition int) bool) {
 	for {
@@ -35,18 +33,11 @@
 func (h *Home) sweepPartition(ctx context.Context, p *partition, owns func(int) bool) {
 	now := time.Now()
 	p.mu.Lock()
-	old := false
-	for _, kept := range p.copies {
-		old = old || now.Sub(kept.since) > copyAge
-	}
 	var expired []string
 	if p.loaded {
 		expired = p.expiredLocked(now, expireBatch)
 	}
 	p.mu.Unlock()
-	if old && h.ensureSynced(ctx, p) {
-		h.takeCopies(p)
-	}
 	if len(expired) == 0 {
 		return
 	}
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -29,8 +29,9 @@
 	Replica string `cbor:"9,keyasint,omitempty"`
 	// Expiry is the Unix time in milliseconds until which the turn is kept at least.
 	Expiry int64 `cbor:"10,keyasint"`
-	// Ahead is the number of tokens that the program's home may grant without a further
-	// record, as of this record; see program. Writer is the home that wrote it.
-	Ahead  int   `cbor:"11,keyasint,omitempty"`
+	// Writer is the home that wrote the record.
 	Writer int64 `cbor:"12,keyasint,omitempty"`
+	// Allowances are the tokens that homes may grant without a further record, by writer,
+	// as of this record; see program.
+	Allowances map[int64]int `cbor:"13,keyasint,omitempty"`
 }
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -47,6 +47,7 @@
 			}
 			p.revalidate(batch)
 		default:
+			p.noteFailure(batch, errors.Is(err, storelog.ErrUnavailable))
 			h.appendFailed(p, err, &pause)
 		}
 	}
@@ -73,9 +74,8 @@
 	for _, c := range p.unsaved {
 		g := p.programLocked(&c.turn)
 		c.ahead = g.nextAhead()
-		// The change itself is not written to: copies of it may be on their way.
 		t := c.turn
-		t.Ahead, t.Writer = g.inherited+c.ahead, p.writer
+		t.Writer, t.Allowances = p.writer, g.allowances(p.writer, c.ahead)
 		value, err := cbor.Marshal(t)
 		if err != nil {
 			panic("turn cannot be encoded: " + err.Error())
@@ -89,7 +89,22 @@
 		p.writing = false
 		return nil, nil, 0
 	}
-	return p.unsaved[:len(records):len(records)], records, p.end
+	batch := p.unsaved[:len(records):len(records)]
+	for _, c := range batch {
+		c.sent = true
+	}
+	return batch, records, p.end
+}
+
+// noteFailure notes that the append of a batch failed. Refused says that the store did not
+// execute it; an earlier append of the same change may still have an unknown outcome.
+func (p *partition) noteFailure(batch []*change, refused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range batch {
+		c.unknown = c.unknown || !refused
+		c.sent = c.unknown
+	}
 }
 
 // dropOvertakenLocked ends the changes whose turn has a later state by now. The newest
@@ -109,7 +124,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.end, p.verified = max(p.end, end), time.Now()
-	p.troubled = false
+	p.troubled = time.Time{}
 	for _, c := range batch {
 		c.savedLocked(p)
 	}
@@ -120,10 +135,11 @@
 func (c *change) savedLocked(p *partition) {
 	// A change that was read back may stand in the store by an earlier append, which let
 	// this home grant less ahead than the last one does.
+	g := p.programLocked(&c.turn)
 	if !c.ended && !c.readBack {
-		g := p.programLocked(&c.turn)
-		g.ahead, g.written = c.ahead, c.ahead
+		g.ahead = c.ahead
 	}
+	delete(g.open, c.turn.ID)
 	c.endLocked()
 }
 
@@ -136,9 +152,11 @@
 func (p *partition) trouble() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fresh := !p.troubled
-	p.troubled = true
-	return fresh
+	if !p.troubled.IsZero() {
+		return false
+	}
+	p.troubled = time.Now()
+	return true
 }
 
 // revalidate ends the changes of a batch that turned out to be in the store, checks the
