Forgive what a lost home may have granted, up to one turn; record each turn near a budget's end

Each home that was lost left its allowance of 1.5 largest turns counted as used for good. Now homes learn from the incarnation in a writer's name that its host runs anew; five seconds later, when hosts that live have settled its turns, the allowance is no longer counted, up to the most of one turn over a program's life, by which a budget may be exceeded. Below three largest turns left, each turn gets a record before it begins, so that a loss there leaves nothing uncertain. Ruled out: turns missing in the store.

--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -170,16 +170,22 @@
 }
 
 // Release implements Others. It also asks a host to which calls have failed.
-func (c *Client) Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, bool) {
-	for _, h := range c.hosts.Others() {
-		if WriterOf(h) != args.Writer {
+func (c *Client) Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, Presence) {
+	for _, h := range append(c.hosts.Others(), c.hosts.Self()) {
+		writer := WriterOf(h)
+		if !sameHost(writer, args.Writer) {
 			continue
 		}
+		if writer != args.Writer {
+			return ReleaseReply{}, Gone
+		}
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		var reply ReleaseReply
-		err := c.caller.Call(ctx, h, ServiceName+".Release", args, &reply)
-		return reply, err == nil
+		if err := c.caller.Call(ctx, h, ServiceName+".Release", args, &reply); err != nil {
+			return ReleaseReply{}, Silent
+		}
+		return reply, Present
 	}
-	return ReleaseReply{}, false
+	return ReleaseReply{}, Silent
 }
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/storelog"
@@ -23,14 +20,8 @@
 
 // Others are the homes at other hosts.
 type Others interface {
-	// Release asks the home that is named by writer to grant no more ahead. It reports
-	// whether that home answered.
-	Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, bool)
-}
-
-// WriterOf names the home at a host in records.
-func WriterOf(h peers.Host) int64 {
-	return int64(xxhash.Sum64String(h.ID + "/" + strconv.FormatInt(h.Incarnation, 10)))
+	// Release asks the home that is named by writer to grant no more ahead.
+	Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, Presence)
 }
 
 // Home decides for partitions. Its methods are safe for concurrent use.
@@ -41,6 +32,8 @@
 	parts  [Partitions]*partition
 	// appendTime is the usual time of an append.
 	appendTime average
+	// gone holds when homes were first found to be gone.
+	gone goneHomes
 	// loads holds a token for each load under way.
 	loads chan struct{}
 }
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -73,7 +73,7 @@
 		p.noteOwnLocked(&t)
 		return true
 	}
-	p.programLocked(&t).foreignRecord(r.Offset, p.writer, t.Allowances)
+	p.programLocked(&t).foreignRecord(r.Offset, p.writer, &t)
 	return true
 }
 
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -6,6 +6,10 @@
 // then begins without an append.
 const aheadShare = 1.5
 
+// exactTurns is the number of largest turns left in a budget below which each turn gets a
+// record before it begins. The loss of a home then leaves nothing uncertain of the rest.
+const exactTurns = 3
+
 // programKey names a program of a client account.
 type programKey struct{ account, program string }
 
@@ -28,6 +32,9 @@
 	// has the offset foreignOffset.
 	foreign       map[int64]int
 	foreignOffset int64
+	// forgiven are the tokens of allowances of homes that are gone which are no longer
+	// counted. They are no more than one turn generates, by which a budget may be exceeded.
+	forgiven int
 	// largest is the largest reservation of a turn.
 	largest int
 	// budget is what the caller said last; 0 means no limit.
@@ -71,13 +78,25 @@
 // record is saved, no more than before may be granted.
 func (g *program) nextAhead() int {
 	next := g.granted() + int(aheadShare*float64(g.largest))
-	if g.budget > 0 {
-		next = min(next, max(g.budget-g.tokens-g.inherited(), g.granted()))
+	if g.budget > 0 && g.budget-g.used() < exactTurns*g.largest {
+		next = g.granted()
 	}
 	g.ahead = min(g.ahead, next)
 	return next
 }
 
+// forgive no longer counts the allowance of a home that is gone, up to the most that one
+// turn generates over the life of the program. It reports whether that changes anything.
+func (g *program) forgive(writer int64, largest int) bool {
+	tokens := min(g.foreign[writer], max(largest, g.largest)-g.forgiven)
+	if tokens <= 0 {
+		return false
+	}
+	g.foreign[writer] -= tokens
+	g.forgiven += tokens
+	return true
+}
+
 // allowances returns what a record says that is written by a home with an allowance.
 func (g *program) allowances(writer int64, ahead int) map[int64]int {
 	all := make(map[int64]int, len(g.foreign)+1)
@@ -89,11 +108,12 @@
 }
 
 // foreignRecord takes over the allowances of a record of another home.
-func (g *program) foreignRecord(offset, self int64, allowances map[int64]int) {
+func (g *program) foreignRecord(offset, self int64, t *Turn) {
 	if offset < g.foreignOffset {
 		return
 	}
 	g.foreignOffset = offset
-	g.foreign = maps.Clone(allowances)
+	g.forgiven = t.Forgiven
+	g.foreign = maps.Clone(t.Allowances)
 	delete(g.foreign, self)
 }
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -22,18 +22,25 @@
 		if allowance == 0 {
 			continue
 		}
-		reply, answered := h.others.Release(ctx, ReleaseArgs{Writer: writer, Account: args.Account, Program: args.Program})
-		if !answered {
-			continue
-		}
-		if !p.released(key, g, offset, writer, reply) {
-			return released
+		reply, presence := h.others.Release(ctx, ReleaseArgs{Writer: writer, Account: args.Account, Program: args.Program})
+		switch {
+		case presence == Present:
+			released = p.released(key, g, offset, writer, reply) || released
+		case presence == Gone && h.gone.settled(writer):
+			released = p.forgive(key, g, offset, writer, args.MaxTokens) || released
 		}
-		released = true
 	}
 	return released
 }
 
+// forgive gives up a part of the allowance of a home that is gone. Hosts that served its
+// turns have settled them by now, or were lost, too.
+func (p *partition) forgive(key programKey, g *program, offset, writer int64, largest int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.programs[key] == g && g.foreignOffset == offset && g.forgive(writer, largest)
+}
+
 // released enters that a home has given up its allowance. It reports false if another home
 // has written since, and so may have got a new one.
 func (p *partition) released(key programKey, g *program, offset, writer int64, reply ReleaseReply) bool {
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -34,4 +34,7 @@
 	// Allowances are the tokens that homes may grant without a further record, by writer,
 	// as of this record; see program.
 	Allowances map[int64]int `cbor:"13,keyasint,omitempty"`
+	// Forgiven are the tokens of allowances that are no longer counted, although turns that
+	// used them may be lost with their hosts.
+	Forgiven int `cbor:"14,keyasint,omitempty"`
 }
