Settle turns that were refused while their reservation may have been stored

A program without end that tries again and again collects several, and is then answered 402 although its budget holds a turn. Now the home says that tokens may be reserved, and the host that refused the turn settles it as failed with no tokens; only that host knows that the turn does not run.

Test: TestUncertainReservationIsSettled.

--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -38,13 +38,16 @@
 	}
 	args := turns.BeginArgs{Account: x.accountName(), Program: program, Turn: x.call.ID, Parent: x.call.Previous,
 		Budget: x.call.Budget, MaxTokens: x.call.MaxTokens, RetentionMS: x.route.TurnRetention.Milliseconds()}
+	t := &turn{x: x, perEvent: 1, record: turns.Turn{ID: args.Turn, Parent: args.Parent, Account: args.Account,
+		Program: program, Input: x.body}}
 	begun, flattened := x.g.turns.Begin(ctx, args)
 	if f := x.g.refusalOf(begun.Outcome); f != nil {
+		if begun.Uncertain {
+			t.broken(streamed{})
+		}
 		x.refuse(*f)
 		return
 	}
-	t := &turn{x: x, perEvent: 1, record: turns.Turn{ID: args.Turn, Parent: args.Parent, Account: args.Account,
-		Program: program, Input: x.body}}
 	if flattened {
 		t.record.Parent = ""
 		t.record.Input = append(append([]byte(nil), begun.Chain...), x.body...)
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -77,16 +77,20 @@
 
 func (c *Client) begin(ctx context.Context, args BeginArgs) BeginReply {
 	reply := BeginReply{Outcome: Unavailable}
+	uncertain := false
 	c.ask(ctx, PartitionOf(args.Account, args.Program), func(ctx context.Context, h peers.Host) (bool, error) {
 		// A reply of its own: one that comes too late must not overwrite the next home's.
 		var got BeginReply
 		err := c.at(ctx, h, "Begin", args, &got, func() { got = c.home.Begin(ctx, args) })
 		if err != nil {
+			uncertain = true
 			return false, err
 		}
 		reply = got
+		uncertain = uncertain || got.Uncertain
 		return reply.Outcome != Unavailable, nil
 	})
+	reply.Uncertain = uncertain && reply.Outcome == Unavailable
 	return reply
 }
 
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -71,8 +71,7 @@
 	select {
 	case <-c.done:
 	case <-ctx.Done():
-		p.withdraw(c)
-		return BeginReply{Outcome: Unavailable}
+		return BeginReply{Outcome: Unavailable, Uncertain: !p.withdraw(c)}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -82,17 +81,18 @@
 	return reply
 }
 
-// withdraw drops a reservation that was not kept in time, unless the store may have it.
-// One that the store may have counts until the program expires.
-func (p *partition) withdraw(c *change) {
+// withdraw drops a reservation that was not kept in time. It reports false if the store may
+// have it.
+func (p *partition) withdraw(c *change) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.sent || c.ended {
-		return
+		return c.withdrawn
 	}
 	p.removeLocked(c.turn.ID)
 	c.endLocked()
 	p.dropDoneLocked()
+	return true
 }
 
 // decide applies the reservation of a turn to the state, if its budget holds it.
--- a/internal/turns/home_test.go
+++ b/internal/turns/home_test.go
@@ -200,6 +200,25 @@
 	is.Equal(begin(t, second, "t5", "t1", 250).Outcome, turns.Granted)
 }
 
+// TestUncertainReservationIsSettled guards against programs that are ended early because a
+// reservation was stored after its turn was refused: the home must say that it may be.
+func TestUncertainReservationIsSettled(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	gate := make(chan struct{})
+	h := newHome(gatedLog{log, gate}, nil)
+	args := turns.BeginArgs{Account: "a", Program: "p", Turn: "refused", MaxTokens: 100, Budget: 100, RetentionMS: 60_000}
+	refused := h.Begin(deadline(t, 50*time.Millisecond), args)
+	is.Equal(refused.Outcome, turns.Unavailable)
+	is.True(refused.Uncertain)
+	close(gate)
+	failed := ended("refused", "", 0)
+	failed.State, failed.Input, failed.Output = turns.Failed, nil, nil
+	is.True(h.End(deadline(t, time.Second), failed))
+	args.Turn = "next"
+	is.Equal(h.Begin(deadline(t, time.Second), args).Outcome, turns.Granted)
+}
+
 // lossNetwork is a turns.Others whose homes are all gone.
 type lossNetwork struct{}
 
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -40,6 +40,9 @@
 	Chain []byte
 	// Replica ran the parent.
 	Replica string
+	// Uncertain says with Unavailable that tokens may be reserved. The caller settles the
+	// turn as failed, since only it knows that the turn does not run.
+	Uncertain bool
 }
 
 // EndArgs settle a turn.
