Give each bucket its window from the start

Cause (found reading the diff): a host that hears of an account's use before it has read the account's rate advanced the sliding counts with a window of zero. Their clock then stood far in the future, nothing left the window any more, and as owner the host refused the account for good after one window's worth of requests. Every restarted host was concerned.

Test: TestHeardBeforeConfigured (failed before).

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -53,7 +53,9 @@
 	others map[string]counter
 }
 
-func newBucket() *bucket { return &bucket{others: make(map[string]counter)} }
+func newBucket(bound Bound) *bucket {
+	return &bucket{bound: bound, others: make(map[string]counter)}
+}
 
 // counter is the last usage heard of another host.
 type counter struct {
@@ -198,19 +200,19 @@
 // configure sets the rate and burst of a version of the configuration, unless a newer
 // one is known. A bucket whose past is unknown starts with what the bound allows beyond
 // them; a changed one keeps its level within the new depth.
-func (b *bucket) configure(version int64, rate, burst float64, bound Bound, now boottime.Instant) {
+func (b *bucket) configure(version int64, rate, burst float64, now boottime.Instant) {
 	if version < b.version {
 		return
 	}
 	b.version = version
 	first := b.rate == 0
-	b.rate, b.burst, b.bound = rate, burst, bound
+	b.rate, b.burst = rate, burst
 	if first {
-		b.level = bound.Excess*b.total() + startSlack*bound.Slack
+		b.level = b.bound.Excess*b.total() + startSlack*b.bound.Slack
 		b.uncommitted = burst
 		b.last = now
-		b.admitted.advance(now, bound.Window)
-		b.committed.advance(now, bound.Window)
+		b.admitted.advance(now, b.bound.Window)
+		b.committed.advance(now, b.bound.Window)
 	}
 	b.level = min(b.level, b.depth())
 	b.uncommitted = min(b.uncommitted, b.programDepth(b.cost))
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -29,8 +29,8 @@
 func newTestFleet(hosts int) *testFleet {
 	f := &testFleet{now: boottime.Instant(time.Hour)}
 	for range hosts {
-		b := newBucket()
-		b.configure(1, testRate, testBurst, testBound, f.now)
+		b := newBucket(testBound)
+		b.configure(1, testRate, testBurst, f.now)
 		f.buckets = append(f.buckets, b)
 	}
 	return f
@@ -184,8 +184,8 @@
 	for _, rate := range []float64{4, 8, 50, 400} {
 		now := boottime.Instant(time.Hour)
 		newBucketNow := func() *bucket {
-			b := newBucket()
-			b.configure(1, rate, rate, bound, now)
+			b := newBucket(bound)
+			b.configure(1, rate, rate, now)
 			return b
 		}
 		b := newBucketNow()
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -40,7 +40,7 @@
 	defer l.mu.Unlock()
 	for _, account := range table.Accounts() {
 		if account.Rate > 0 {
-			l.bucketLocked(hashOf(account.Name)).configure(table.Version, account.Rate, max(account.Burst, 1), l.bound, now)
+			l.bucketLocked(hashOf(account.Name)).configure(table.Version, account.Rate, max(account.Burst, 1), now)
 		}
 	}
 }
@@ -54,7 +54,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucketLocked(hashOf(args.Account))
-	b.configure(args.Version, args.Rate, args.Burst, l.bound, now)
+	b.configure(args.Version, args.Rate, args.Burst, now)
 	if b.take(now, f, args.Request, owner) {
 		return TakeReply{Admitted: true}
 	}
@@ -74,7 +74,7 @@
 func (l *Limiter) bucketLocked(account uint32) *bucket {
 	b := l.buckets[account]
 	if b == nil {
-		b = newBucket()
+		b = newBucket(l.bound)
 		l.buckets[account] = b
 	}
 	return b
--- a/internal/quota/small_test.go
+++ b/internal/quota/small_test.go
@@ -14,8 +14,8 @@
 // needs at its peak, as the only host sees it after ten idle seconds.
 func newSmallBucket(rate float64) (*bucket, boottime.Instant) {
 	now := boottime.Instant(time.Hour)
-	b := newBucket()
-	b.configure(1, rate, rate, testBound, now)
+	b := newBucket(testBound)
+	b.configure(1, rate, rate, now)
 	return b, now.Add(10 * time.Second)
 }
 
@@ -101,3 +101,19 @@
 	b.heard("x", 1, peers.Usage{Admitted: 3, Committed: 30})
 	is.Equal(b.level, min(before+1, b.depth()))
 }
+
+// TestHeardBeforeConfigured guards against accounts that are refused for ever by a host
+// which hears of their use before it has read their rate, as each restarted host does.
+func TestHeardBeforeConfigured(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter(Bound{Window: 100 * time.Millisecond}, func() (int, int) { return 2, 2 })
+	l.Heard("x", 1, map[uint32]peers.Usage{hashOf("a"): {Admitted: 1}})
+	admitted := 0
+	for range 100 { // far below the rate of every window
+		time.Sleep(25 * time.Millisecond)
+		if l.Take(TakeArgs{Account: "a", Version: 1, Rate: 50, Burst: 50}, true).Admitted {
+			admitted++
+		}
+	}
+	is.True(admitted >= 99) // the first may find the bucket of an unknown past empty
+}
