Ask homes for their allowances while they drain; make one allowance one largest turn

Only one turn is forgiven, so a program without end was answered 402 48 times although its budget held a turn. Now a home that finds allowances of others asks for them at once, while they drain, and an allowance is one largest turn, so that the loss of one home leaves nothing uncertain beyond what is forgiven.

Test: TestAllowanceIsReleasedBeforeItsHomeLeaves.

--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -65,6 +65,13 @@
 	if reply.Outcome == Exhausted && h.release(ctx, p, args) {
 		reply, c = h.decide(p, args)
 	}
+	if p.shouldRelease(args) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+			defer cancel()
+			h.release(ctx, p, args)
+		}()
+	}
 	if c == nil {
 		return reply
 	}
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -3,8 +3,9 @@
 import "maps"
 
 // aheadShare of the largest turn of a program is reserved ahead: the next turn of a line
-// then begins without an append.
-const aheadShare = 1.5
+// then begins without an append. What the loss of one home leaves uncertain is then no
+// more than may be forgiven.
+const aheadShare = 1.0
 
 // exactTurns is the number of largest turns left in a budget below which each turn gets a
 // record before it begins. The loss of a home then leaves nothing uncertain of the rest.
@@ -32,6 +33,9 @@
 	// has the offset foreignOffset.
 	foreign       map[int64]int
 	foreignOffset int64
+	// askedAt is the foreignOffset at which the other homes were last asked for their
+	// allowances without need.
+	askedAt int64
 	// forgiven are the tokens of allowances of homes that are gone which are no longer
 	// counted. They are no more than one turn generates, by which a budget may be exceeded.
 	forgiven int
@@ -44,7 +48,7 @@
 }
 
 func newProgram() *program {
-	return &program{turns: make(map[string]struct{}), open: make(map[string]int), foreignOffset: -1}
+	return &program{turns: make(map[string]struct{}), open: make(map[string]int), foreignOffset: -1, askedAt: -1}
 }
 
 // granted sums up what was granted without a record.
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -33,6 +33,20 @@
 	return released
 }
 
+// shouldRelease reports, once after each record of another home, whether others hold
+// allowances for a program. A home that leaves can be asked while it drains; later, what it
+// might have granted counts until it is forgiven.
+func (p *partition) shouldRelease(args BeginArgs) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.programs[programKey{args.Account, args.Program}]
+	if g == nil || g.budget == 0 || g.inherited() == 0 || g.askedAt == g.foreignOffset {
+		return false
+	}
+	g.askedAt = g.foreignOffset
+	return true
+}
+
 // forgive gives up a part of the allowance of a home that is gone. Hosts that served its
 // turns have settled them by now, or were lost, too.
 func (p *partition) forgive(key programKey, g *program, offset, writer int64, largest int) bool {
