Queue a repeated settlement once

In an outage of the store hosts repeat each settlement twice a second, each repetition was queued as a change of its own, and each append carried all of them; since refused turns are settled, too, there were many more. Now a settlement that waits for the store is not queued again.

--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -154,9 +154,12 @@
 	if !h.ensureLoaded(ctx, p) {
 		return false
 	}
-	c := &change{turn: t, done: make(chan struct{})}
 	p.mu.Lock()
-	h.enterLocked(p, c)
+	c := p.unsavedLocked(t.ID, t.State)
+	if c == nil {
+		c = &change{turn: t, done: make(chan struct{})}
+		h.enterLocked(p, c)
+	}
 	p.mu.Unlock()
 	select {
 	case <-c.done:
--- a/internal/turns/home_test.go
+++ b/internal/turns/home_test.go
@@ -386,6 +386,37 @@
 	return l.Memory.Append(ctx, p, expected, records)
 }
 
+// countingLog counts the records of appends.
+type countingLog struct {
+	*storelog.Memory
+	records atomic.Int64
+}
+
+func (l *countingLog) Append(ctx context.Context, p storelog.Partition, expected int64, records []storelog.Record) (int64, error) {
+	end, err := l.Memory.Append(ctx, p, expected, records)
+	if err == nil {
+		l.records.Add(int64(len(records)))
+	}
+	return end, err
+}
+
+// TestRepeatedSettlementIsQueuedOnce answers a long outage of the store, in which hosts
+// repeat each settlement: every repetition must not become a record.
+func TestRepeatedSettlementIsQueuedOnce(t *testing.T) {
+	is := is.New(t)
+	log := &countingLog{Memory: storelog.NewMemory()}
+	h := newHome(log, nil)
+	is.Equal(begin(t, h, "t0", "", 0).Outcome, turns.Granted)
+	log.SetFault(down)
+	before := log.records.Load()
+	for range 20 {
+		is.True(!h.End(deadline(t, 5*time.Millisecond), ended("t0", "", 10)))
+	}
+	log.SetFault(nil)
+	is.True(h.End(deadline(t, time.Second), ended("t0", "", 10)))
+	is.Equal(log.records.Load()-before, int64(1))
+}
+
 // TestLateReservationDoesNotHideTurn guards against the reservation of a turn that is
 // appended after the turn's end and then is all that a new home reads of it.
 func TestLateReservationDoesNotHideTurn(t *testing.T) {
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -184,6 +184,17 @@
 	p.dropDoneLocked()
 }
 
+// unsavedLocked returns the change of a turn to a state that waits for the store, or nil.
+// Hosts repeat a settlement until it is kept, which must not queue it again.
+func (p *partition) unsavedLocked(id string, state State) *change {
+	for _, c := range p.unsaved {
+		if c.turn.ID == id && c.turn.State == state {
+			return c
+		}
+	}
+	return nil
+}
+
 // noteOwnLocked marks the unsaved change that a record of this home is of. Its append took
 // effect although the answer was lost.
 func (p *partition) noteOwnLocked(t *Turn) {
