Simplify what the read of the whole change found; no change of behaviour

One rank for this host and others from a host's condition, where Candidates had the switch twice and Serving read the same state by itself; one place each for the size of the fleet in the limiter and for the check that no other home has written. The factor of a home's grants ahead was 1 and is gone, the sliding counts advance where they are used and not also at the first configuration, mergeLocked returns nothing that is read, and a constructor replaces a reset with one caller.

--- a/internal/peers/serving.go
+++ b/internal/peers/serving.go
@@ -21,12 +21,12 @@
 // replicas better and keeps more connections in use, and a request takes less time.
 // Strained hosts are left out while they are few.
 func (t *Table) Serving(zone string) []Host {
-	strained := t.strained()
+	own := t.condition()
 	t.mu.Lock()
 	now, timeout := boottime.Now(), t.timeoutLocked()
 	var able, weak []Host
-	if t.serving && !t.leaving {
-		able, weak = appendHost(able, weak, t.self, strained)
+	if own.Serving {
+		able, weak = appendHost(able, weak, t.self, own.Strained)
 	}
 	for _, m := range t.members {
 		if m.Serving && !m.Leaving && m.alive(now, timeout) {
@@ -40,7 +40,7 @@
 		hosts = largest(able)
 	}
 	slices.SortFunc(hosts, func(a, b Host) int {
-		return cmp.Or(compareBool(b.Zone == zone, a.Zone == zone), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(distance(a, zone), distance(b, zone)), cmp.Compare(a.ID, b.ID))
 	})
 	return hosts
 }
@@ -52,15 +52,12 @@
 	return append(able, h), weak
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
+// distance is 0 for a host in zone and 1 for any other.
+func distance(h Host, zone string) int {
+	if h.Zone == zone {
 		return 0
-	case a:
-		return 1
-	default:
-		return -1
 	}
+	return 1
 }
 
 // largest returns the largest hosts that together hold servingShare of the weight, and
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -205,6 +205,21 @@
 	rankStoreLost
 )
 
+// rank returns the rank of a host in this condition. Partial says that most hosts reach the
+// store.
+func (c Condition) rank(partial bool) int {
+	switch {
+	case c.StoreLost && partial:
+		return rankStoreLost
+	case c.Leaving:
+		return rankLeaving
+	case c.Strained:
+		return rankStrained
+	default:
+		return rankAlive
+	}
+}
+
 // candidate is a host with its order for a key.
 type candidate struct {
 	host  Host
@@ -217,36 +232,16 @@
 // then among the strained and the leaving ones and, in a partial outage of the store,
 // those that do not reach it.
 func (t *Table) Candidates(key uint64, limit int) []Host {
-	storeLost := !t.storeHealthy()
-	strained := t.strained()
+	own := t.condition()
 	t.mu.Lock()
 	now, timeout := boottime.Now(), t.timeoutLocked()
-	partial := t.partialOutageLocked(now, timeout, storeLost)
+	partial := t.partialOutageLocked(now, timeout, own.StoreLost)
 	list := make([]candidate, 0, len(t.members)+1)
-	self := candidate{host: t.self, score: score(key, t.self)}
-	switch {
-	case storeLost && partial:
-		self.rank = rankStoreLost
-	case t.leaving:
-		self.rank = rankLeaving
-	case strained:
-		self.rank = rankStrained
-	}
-	list = append(list, self)
+	list = append(list, candidate{t.self, own.rank(partial), score(key, t.self)})
 	for _, m := range t.members {
-		if !m.alive(now, timeout) {
-			continue
-		}
-		c := candidate{host: m.host, score: score(key, m.host)}
-		switch {
-		case m.StoreLost && partial:
-			c.rank = rankStoreLost
-		case m.Leaving:
-			c.rank = rankLeaving
-		case m.Strained:
-			c.rank = rankStrained
+		if m.alive(now, timeout) {
+			list = append(list, candidate{m.host, m.rank(partial), score(key, m.host)})
 		}
-		list = append(list, c)
 	}
 	t.mu.Unlock()
 	slices.SortFunc(list, func(a, b candidate) int {
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"time"
 
 	"cowslipgw/internal/boottime"
@@ -96,10 +95,10 @@
 	b.admitted.advance(now, b.bound.Window)
 	b.committed.advance(now, b.bound.Window)
 	gained := seconds * b.rate * f.part()
-	b.level = math.Min(b.level+gained, b.depth()*f.part())
-	b.uncommitted = math.Min(b.uncommitted+commitShare*gained, b.programDepth(b.cost)*f.part())
+	b.level = min(b.level+gained, b.depth()*f.part())
+	b.uncommitted = min(b.uncommitted+commitShare*gained, b.programDepth(b.cost)*f.part())
 	share := 1 / float64(max(f.alive, 1))
-	b.own = math.Min(b.own+gained*share, math.Max(b.burst*f.part()*share, 1))
+	b.own = min(b.own+gained*share, max(b.burst*f.part()*share, 1))
 }
 
 // take admits one request if the bucket holds it. A program's first request also needs
@@ -211,8 +210,6 @@
 		b.level = b.bound.Excess*b.total() + startSlack*b.bound.Slack
 		b.uncommitted = burst
 		b.last = now
-		b.admitted.advance(now, b.bound.Window)
-		b.committed.advance(now, b.bound.Window)
 	}
 	b.level = min(b.level, b.depth())
 	b.uncommitted = min(b.uncommitted, b.programDepth(b.cost))
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -29,6 +29,12 @@
 	return &Limiter{counts: counts, bound: bound, buckets: make(map[uint32]*bucket)}
 }
 
+// fleet returns the present size of the fleet.
+func (l *Limiter) fleet() fleet {
+	known, alive := l.counts()
+	return fleet{known: known, alive: alive}
+}
+
 // hashOf names an account in heartbeats.
 func hashOf(account string) uint32 { return uint32(xxhash.Sum64String(account)) }
 
@@ -48,8 +54,7 @@
 // Take takes one request off a bucket. Owner says that this host decides for the
 // bucket; otherwise it keeps to its own share.
 func (l *Limiter) Take(args TakeArgs, owner bool) TakeReply {
-	f := fleet{}
-	f.known, f.alive = l.counts()
+	f := l.fleet()
 	now := boottime.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -64,8 +69,7 @@
 // GiveBack takes back a request that Take admitted and that did not run. Owner is what
 // Take was told.
 func (l *Limiter) GiveBack(args TakeArgs, owner bool) {
-	f := fleet{}
-	f.known, f.alive = l.counts()
+	f := l.fleet()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.bucketLocked(hashOf(args.Account)).giveBack(boottime.Now(), f, args.Request, owner)
@@ -97,8 +101,7 @@
 func (l *Limiter) Heard(host string, incarnation int64, usage map[uint32]peers.Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f := fleet{}
-	f.known, f.alive = l.counts()
+	f := l.fleet()
 	now := boottime.Now()
 	for account, used := range usage {
 		b := l.bucketLocked(account)
--- a/internal/turns/append.go
+++ b/internal/turns/append.go
@@ -16,8 +16,6 @@
 	// hedgeMultiple is the same as a multiple of the usual time of an append, so that a slow
 	// store does not get each append twice.
 	hedgeMultiple = 4
-	// appendTimeGain is the weight of a new sample in the usual time.
-	appendTimeGain = 0.2
 )
 
 // appended is the outcome of one append.
--- a/internal/turns/average.go
+++ b/internal/turns/average.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// averageGain is the weight of a new sample.
+const averageGain = 0.2
+
 // average is a moving average of times. It is safe for concurrent use.
 type average struct {
 	mu    sync.Mutex
@@ -25,5 +28,5 @@
 	if a.value == 0 {
 		a.value = d
 	}
-	a.value += time.Duration(appendTimeGain * float64(d-a.value))
+	a.value += time.Duration(averageGain * float64(d-a.value))
 }
--- a/internal/turns/home.go
+++ b/internal/turns/home.go
@@ -139,7 +139,7 @@
 		return reply, nil
 	}
 	// Without a change that waits for the store this one finds out whether it is back.
-	if p.writing && p.troubledFor(troubleLimit) {
+	if p.writing && p.troubledForLocked(troubleLimit) {
 		return BeginReply{Outcome: Unavailable}, nil
 	}
 	c := &change{budget: args.Budget, done: make(chan struct{}), turn: t}
--- a/internal/turns/load.go
+++ b/internal/turns/load.go
@@ -19,8 +19,8 @@
 	maxLoads = 2
 )
 
-// ensureLoaded waits until the partition is loaded. The load itself goes on when ctx ends: callers give up sooner than a
-// large partition is read, and each would begin anew.
+// ensureLoaded waits until the partition is loaded. The load itself goes on when ctx ends:
+// callers give up sooner than a large partition is read, and each would begin anew.
 func (h *Home) ensureLoaded(ctx context.Context, p *partition) bool {
 	p.mu.Lock()
 	loaded := p.loaded
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -44,15 +44,8 @@
 }
 
 func newPartition(id, partsPerTopic int, writer int64) *partition {
-	p := &partition{id: id, writer: writer, where: partitionName(id, partsPerTopic)}
-	p.clearLocked()
-	return p
-}
-
-func (p *partition) clearLocked() {
-	p.loaded = false
-	p.turns = make(map[string]*Turn)
-	p.programs = make(map[programKey]*program)
+	return &partition{id: id, writer: writer, where: partitionName(id, partsPerTopic),
+		turns: make(map[string]*Turn), programs: make(map[programKey]*program)}
 }
 
 // applyRecord merges a record of the store. It reports false for an invalid one.
@@ -68,12 +61,13 @@
 		return false
 	}
 	p.mergeLocked(&t)
-	delete(p.programLocked(&t).open, t.ID)
+	g := p.programLocked(&t)
+	delete(g.open, t.ID)
 	if t.Writer == p.writer {
 		p.noteOwnLocked(&t)
-		return true
+	} else {
+		g.foreignRecord(r.Offset, p.writer, &t)
 	}
-	p.programLocked(&t).foreignRecord(r.Offset, p.writer, &t)
 	return true
 }
 
@@ -95,16 +89,15 @@
 	return g
 }
 
-// mergeLocked enters a turn unless a later state of it is known. It reports whether
-// the turn was entered.
-func (p *partition) mergeLocked(t *Turn) bool {
+// mergeLocked enters a turn unless a later state of it is known.
+func (p *partition) mergeLocked(t *Turn) {
 	old := p.turns[t.ID]
 	if old != nil && (old.State > t.State || (old.State == Ended && t.State == Ended)) {
-		return false
+		return
 	}
 	g := p.programLocked(t)
 	if _, ahead := g.open[t.ID]; ahead {
-		// Until the store has the turn, its tokens count against the allowance.
+		// Until the store has the turn, its tokens count against the preallocation.
 		g.open[t.ID] = t.Tokens
 	}
 	if old != nil {
@@ -114,7 +107,6 @@
 	g.turns[t.ID] = struct{}{}
 	g.tokens += t.Tokens
 	g.expiry = max(g.expiry, t.Expiry)
-	return true
 }
 
 // removeLocked drops a turn.
@@ -157,8 +149,8 @@
 	return chain, true
 }
 
-// troubledFor reports whether appends have failed for at least d. The caller holds mu.
-func (p *partition) troubledFor(d time.Duration) bool {
+// troubledForLocked reports whether appends have failed for at least d.
+func (p *partition) troubledForLocked(d time.Duration) bool {
 	return !p.troubled.IsZero() && time.Since(p.troubled) >= d
 }
 
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -2,11 +2,6 @@
 
 import "maps"
 
-// aheadShare of the largest turn of a program is reserved ahead: the next turn of a line
-// then begins without an append. What the loss of one home leaves uncertain is then no
-// more than may be forgiven.
-const aheadShare = 1.0
-
 // exactTurns is the number of largest turns left in a budget below which each turn gets a
 // record before it begins. The loss of a home then leaves nothing uncertain of the rest.
 const exactTurns = 3
@@ -16,9 +11,9 @@
 
 // program sums up the turns of one program.
 //
-// A home may grant an allowance of tokens without a record. Each record holds the
-// allowances of all homes that its writer knows, so the last record of a program holds
-// all of them. Homes count the allowances of others as used, since they cannot know what
+// A home may grant a preallocation of tokens without a record. Each record holds the
+// preallocations of all homes that its writer knows, so the last record of a program holds
+// all of them. Homes count the preallocations of others as used, since they cannot know what
 // those have granted.
 type program struct {
 	turns map[string]struct{}
@@ -27,16 +22,16 @@
 	// open are the tokens of turns that were granted without a record and that the store
 	// does not have yet: reserved ones, and used ones of turns that have ended since.
 	open map[string]int
-	// ahead is the allowance of this home by its last record.
+	// ahead is the preallocation of this home by its last record.
 	ahead int
-	// foreign holds the allowances of other homes by the last record of another home, which
+	// foreign holds the preallocations of other homes by the last record of another home, which
 	// has the offset foreignOffset.
 	foreign       map[int64]int
 	foreignOffset int64
 	// askedAt is the foreignOffset at which the other homes were last asked for their
-	// allowances without need.
+	// preallocations without need.
 	askedAt int64
-	// forgiven are the tokens of allowances of homes that are gone which are no longer
+	// forgiven are the tokens of preallocations of homes that are gone which are no longer
 	// counted. They are no more than one turn generates, by which a budget may be exceeded.
 	forgiven int
 	// largest is the largest reservation of a turn.
@@ -78,10 +73,12 @@
 	return true
 }
 
-// nextAhead returns the allowance of this home by a record that is written now. Until the
-// record is saved, no more than before may be granted.
+// nextAhead returns the preallocation of this home by a record that is written now: one largest
+// turn more, so that the next turn of a line begins without an append. What the loss of one
+// home leaves uncertain is then no more than may be forgiven. Until the record is saved, no
+// more than before may be granted.
 func (g *program) nextAhead() int {
-	next := g.granted() + int(aheadShare*float64(g.largest))
+	next := g.granted() + g.largest
 	if g.budget > 0 && g.budget-g.used() < exactTurns*g.largest {
 		next = g.granted()
 	}
@@ -89,7 +86,7 @@
 	return next
 }
 
-// forgive no longer counts the allowance of a home that is gone, up to the most that one
+// forgive no longer counts the preallocation of a home that is gone, up to the most that one
 // turn generates over the life of the program. It reports whether that changes anything.
 func (g *program) forgive(writer int64, largest int) bool {
 	tokens := min(g.foreign[writer], max(largest, g.largest)-g.forgiven)
@@ -101,8 +98,8 @@
 	return true
 }
 
-// allowances returns what a record says that is written by a home with an allowance.
-func (g *program) allowances(writer int64, ahead int) map[int64]int {
+// preallocations returns what a record says that is written by a home with a preallocation.
+func (g *program) preallocations(writer int64, ahead int) map[int64]int {
 	all := make(map[int64]int, len(g.foreign)+1)
 	maps.Copy(all, g.foreign)
 	if ahead > 0 {
@@ -111,13 +108,13 @@
 	return all
 }
 
-// foreignRecord takes over the allowances of a record of another home.
+// foreignRecord takes over the preallocations of a record of another home.
 func (g *program) foreignRecord(offset, self int64, t *Turn) {
 	if offset < g.foreignOffset {
 		return
 	}
 	g.foreignOffset = offset
 	g.forgiven = t.Forgiven
-	g.foreign = maps.Clone(t.Allowances)
+	g.foreign = maps.Clone(t.Preallocations)
 	delete(g.foreign, self)
 }
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -18,8 +18,8 @@
 	}
 	p.mu.Unlock()
 	released := false
-	for writer, allowance := range foreign {
-		if allowance == 0 {
+	for writer, preallocation := range foreign {
+		if preallocation == 0 {
 			continue
 		}
 		reply, presence := h.others.Release(ctx, ReleaseArgs{Writer: writer, Account: args.Account, Program: args.Program})
@@ -34,7 +34,7 @@
 }
 
 // shouldRelease reports, once after each record of another home, whether others hold
-// allowances for a program. A home that leaves can be asked while it drains; later, what it
+// preallocations for a program. A home that leaves can be asked while it drains; later, what it
 // might have granted counts until it is forgiven.
 func (p *partition) shouldRelease(args BeginArgs) bool {
 	p.mu.Lock()
@@ -47,20 +47,26 @@
 	return true
 }
 
-// forgive gives up a part of the allowance of a home that is gone. Hosts that served its
+// forgive gives up a part of the preallocation of a home that is gone. Hosts that served its
 // turns have settled them by now, or were lost, too.
 func (p *partition) forgive(key programKey, g *program, offset, writer int64, largest int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.programs[key] == g && g.foreignOffset == offset && g.forgive(writer, largest)
+	return p.unchangedLocked(key, g, offset) && g.forgive(writer, largest)
 }
 
-// released enters that a home has given up its allowance. It reports false if another home
-// has written since, and so may have got a new one.
+// unchangedLocked reports whether no other home has written for a program since offset, and
+// so may have got a new preallocation.
+func (p *partition) unchangedLocked(key programKey, g *program, offset int64) bool {
+	return p.programs[key] == g && g.foreignOffset == offset
+}
+
+// released enters that a home has given up its preallocation. It reports false if another home
+// has written since.
 func (p *partition) released(key programKey, g *program, offset, writer int64, reply ReleaseReply) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.programs[key] != g || g.foreignOffset != offset {
+	if !p.unchangedLocked(key, g, offset) {
 		return false
 	}
 	delete(g.foreign, writer)
@@ -72,7 +78,7 @@
 	return true
 }
 
-// Release ends this home's allowance for a program, and names the turns that the store may
+// Release ends this home's preallocation for a program, and names the turns that the store may
 // lack. It reports whether this home is the writer that is asked.
 func (h *Home) Release(args ReleaseArgs) (ReleaseReply, bool) {
 	p := h.parts[PartitionOf(args.Account, args.Program)]
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -31,10 +31,10 @@
 	Expiry int64 `cbor:"10,keyasint"`
 	// Writer is the home that wrote the record.
 	Writer int64 `cbor:"12,keyasint,omitempty"`
-	// Allowances are the tokens that homes may grant without a further record, by writer,
+	// Preallocations are the tokens that homes may grant without a further record, by writer,
 	// as of this record; see program.
-	Allowances map[int64]int `cbor:"13,keyasint,omitempty"`
-	// Forgiven are the tokens of allowances that are no longer counted, although turns that
+	Preallocations map[int64]int `cbor:"13,keyasint,omitempty"`
+	// Forgiven are the tokens of preallocations that are no longer counted, although turns that
 	// used them may be lost with their hosts.
 	Forgiven int `cbor:"14,keyasint,omitempty"`
 }
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -75,7 +75,7 @@
 		g := p.programLocked(&c.turn)
 		c.ahead = g.nextAhead()
 		t := c.turn
-		t.Writer, t.Allowances, t.Forgiven = p.writer, g.allowances(p.writer, c.ahead), g.forgiven
+		t.Writer, t.Preallocations, t.Forgiven = p.writer, g.preallocations(p.writer, c.ahead), g.forgiven
 		value, err := cbor.Marshal(t)
 		if err != nil {
 			panic("turn cannot be encoded: " + err.Error())
