Enforce token budgets on routes that store no turns

A streaming request with a budget is now a turn of its program on every route. Where the route stores none, its record has no text and the state Closed (formerly Failed), which no turn can continue. The partitions, preallocations and appends are those of stored turns. Such a turn is settled after its answer without waiting for the store, because its reservation counts until then.

Ruled out: a counter for each program beside the turns, which would need rules of its own for lost and moved owners.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -28,6 +28,7 @@
 	h := gateway.EndToEnd(r.Header)
 	call := &gateway.Call{ID: h.Get("Id"), Key: h.Get("Key"), Method: r.Method, URI: r.RequestURI, Path: r.URL.Path,
 		Host: "h", Header: h, HasBody: r.Method == http.MethodPost, Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), MaxTokens: 10}
+	call.Budget, _ = strconv.Atoi(h.Get("Budget"))
 	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
 		call.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -59,6 +60,9 @@
 	return s.table, nil
 }
 
+// incarnations numbers the owners that the tests create.
+var incarnations atomic.Int64
+
 // singleHost is a fleet that consists of one host.
 type singleHost struct{}
 
@@ -82,6 +86,12 @@
 // newTestGateway returns a gateway whose service s has the given upstreams. Freshness is how
 // long keys may be used without confirmation.
 func newTestGateway(t *testing.T, freshness time.Duration, upstreams ...http.HandlerFunc) *testGateway {
+	t.Helper()
+	return newTestGatewayOver(t, storelog.NewMemory(), freshness, upstreams...)
+}
+
+// newTestGatewayOver returns a gateway of another host over the same store.
+func newTestGatewayOver(t *testing.T, log *storelog.Memory, freshness time.Duration, upstreams ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	events := event.Discard()
 	share := []route.TrafficShare{{Service: "s", Weight: 1}}
@@ -91,9 +101,10 @@
 	}
 	chat := newRoute("chat", route.Streaming, 1)
 	chat.StoresTurns, chat.TurnRetention = true, time.Minute
-	table := route.NewTable(1, []*route.Route{newRoute("safe", route.Safe, 3), newRoute("unsafe", route.Unsafe, 3), chat},
+	table := route.NewTable(1, []*route.Route{newRoute("safe", route.Safe, 3), newRoute("unsafe", route.Unsafe, 3), chat,
+		newRoute("draft", route.Streaming, 1)},
 		[]*route.Service{{Name: "s"}}, []*route.Account{{Name: "acme", Keys: []string{"k"}}, {Name: "small", Keys: []string{"ks"}, Rate: 1, Burst: 1}}, route.Limits{BodyBytes: 1000}, true)
-	gw := &testGateway{log: storelog.NewMemory(), source: &configSource{table: table}, replicas: replica.NewSet("z", events)}
+	gw := &testGateway{log: log, source: &configSource{table: table}, replicas: replica.NewSet("z", events)}
 	for n, handler := range upstreams {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
@@ -106,7 +117,7 @@
 	t.Cleanup(cancel)
 	go config.Run(ctx)
 	client := turns.NewClient(singleHost{}, nil)
-	client.SetOwner(turns.NewOwner(singleHost{}.Self(), gw.log, singleHost{}, 8, events))
+	client.SetOwner(turns.NewOwner(peers.Host{ID: "self", Incarnation: incarnations.Add(1)}, gw.log, singleHost{}, 8, events))
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
 		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pool: forward.NewPool(), Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	if x.route.StoresTurns {
+	if x.isTurn() {
 		x.serveTurn(ctx)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,7 +37,7 @@
 			}
 			if writeErr != nil {
 				a.end(replica.Abandoned, s.count)
-				t.fail(streamResult{events: s.count})
+				t.close(streamResult{events: s.count})
 				x.abort("caller disconnected")
 			}
 		}
@@ -46,7 +46,7 @@
 		}
 		if err != io.EOF || len(s.partial) > 0 {
 			a.end(replica.Broken, s.count)
-			t.fail(streamResult{events: s.count})
+			t.close(streamResult{events: s.count})
 			x.abort("replica stream ended early")
 		}
 		a.end(replica.Answered, s.count)
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -7,6 +7,7 @@
 
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/replica"
+	"cowslipgw/internal/route"
 	"cowslipgw/internal/turns"
 )
 
@@ -15,6 +16,8 @@
 	settleTimeout = 60 * time.Second
 	// settleRetryDelay is the delay between two attempts of a settlement.
 	settleRetryDelay = 200 * time.Millisecond
+	// defaultRetention is how long spending is recorded on routes without a retention time.
+	defaultRetention = time.Minute
 	// prefillTokensPerMS is the approximate number of prompt tokens that an engine reads in
 	// a millisecond, and eventMS the usual duration of one event in milliseconds. They
 	// convert a cached prefix into saved time, measured in events.
@@ -32,20 +35,41 @@
 	tokensPerEvent int
 }
 
+// isTurn reports whether the request is a turn of a program: its route stores turns, or its
+// tokens count against a budget.
+func (x *exchange) isTurn() bool {
+	return x.route.StoresTurns || (x.route.Kind == route.Streaming && x.call.Budget > 0)
+}
+
+// retention returns how long the record of a turn is retained. Without stored turns, records
+// only keep a program's spending, for which the configuration may give no time.
+func (x *exchange) retention() time.Duration {
+	if x.route.TurnRetention > 0 {
+		return x.route.TurnRetention
+	}
+	return defaultRetention
+}
+
 // serveTurn serves a request that is a turn of a program.
 func (x *exchange) serveTurn(ctx context.Context) {
 	program := x.call.Program
 	if program == "" {
 		program = x.call.ID
 	}
-	args := turns.BeginArgs{Account: x.accountName(), Program: program, Turn: x.call.ID, Parent: x.call.PreviousTurn,
-		Budget: x.call.Budget, MaxTokens: x.call.MaxTokens, RetentionMS: x.route.TurnRetention.Milliseconds()}
+	args := turns.BeginArgs{Account: x.accountName(), Program: program, Turn: x.call.ID,
+		Budget: x.call.Budget, MaxTokens: x.call.MaxTokens, RetentionMS: x.retention().Milliseconds()}
+	if x.route.StoresTurns {
+		args.Parent = x.call.PreviousTurn
+	}
 	t := &turn{x: x, tokensPerEvent: 1, record: turns.Turn{ID: args.Turn, Parent: args.Parent, Account: args.Account,
-		Program: program, Input: x.body}}
+		Program: program}}
+	if x.route.StoresTurns {
+		t.record.Input = x.body
+	}
 	begun, flattened := x.g.turns.Begin(ctx, args)
 	if f := x.g.refusalFor(begun.Outcome); f != nil {
 		if begun.Uncertain {
-			t.fail(streamResult{})
+			t.close(streamResult{})
 		}
 		x.refuse(*f)
 		return
@@ -61,7 +85,7 @@
 		Gain: minPreviousReplicaGain + float64(x.call.PromptTokens)/prefillTokensPerMS/eventMS}
 	a, err := x.dispatch(ctx, [][]byte{begun.Chain, x.body}, q)
 	if err != nil {
-		t.fail(streamResult{})
+		t.close(streamResult{})
 		x.fail(ctx, err)
 		return
 	}
@@ -71,7 +95,7 @@
 		return
 	}
 	content, err := x.readAnswer(a)
-	t.fail(streamResult{})
+	t.close(streamResult{})
 	if err != nil {
 		a.end(x.failureResult(ctx), 1)
 		x.fail(ctx, err)
@@ -97,11 +121,16 @@
 
 // complete stores a turn that was answered completely. It reports whether the turn is
 // stored before ctx ends: an answer must not look complete while its turn could still be
-// lost.
+// lost. A turn that no other can continue is settled without waiting, since its reservation
+// counts against the budget until then.
 func (t *turn) complete(ctx context.Context, s streamResult) bool {
 	if t == nil {
 		return true
 	}
+	if !t.x.route.StoresTurns {
+		t.close(s)
+		return true
+	}
 	t.record.State = turns.Ended
 	t.record.Output = s.output
 	t.record.Tokens = s.events * t.tokensPerEvent
@@ -114,12 +143,13 @@
 	}
 }
 
-// fail settles a turn that was not answered completely. It does not wait.
-func (t *turn) fail(s streamResult) {
+// close settles a turn that cannot be continued: its answer is incomplete, or its route
+// stores no turns. It does not wait.
+func (t *turn) close(s streamResult) {
 	if t == nil {
 		return
 	}
-	t.record.State = turns.Failed
+	t.record.State = turns.Closed
 	t.record.Input = nil
 	t.record.Tokens = s.events * t.tokensPerEvent
 	t.settle()
@@ -130,7 +160,7 @@
 func (t *turn) settle() <-chan struct{} {
 	g := t.x.g
 	record := t.record
-	record.Expiry = time.Now().Add(t.x.route.TurnRetention).UnixMilli()
+	record.Expiry = time.Now().Add(t.x.retention()).UnixMilli()
 	stored := make(chan struct{})
 	g.settling.Add(1)
 	go func() {
--- a/internal/turns/budget_test.go
+++ b/internal/turns/budget_test.go
@@ -100,7 +100,7 @@
 	turn := ended(id, "", used)
 	turn.Expiry = time.Now().Add(time.Hour).UnixMilli()
 	if r.random.IntN(3) == 0 {
-		turn.State, turn.Input, turn.Output = turns.Failed, nil, nil
+		turn.State, turn.Input, turn.Output = turns.Closed, nil, nil
 	}
 	go func() { // retried until it is stored, as hosts do
 		for range 100 {
--- a/internal/turns/grant_test.go
+++ b/internal/turns/grant_test.go
@@ -129,7 +129,7 @@
 	is.True(refused.Uncertain)
 	close(gate)
 	failed := ended("refused", "", 0)
-	failed.State, failed.Input, failed.Output = turns.Failed, nil, nil
+	failed.State, failed.Input, failed.Output = turns.Closed, nil, nil
 	is.True(o.End(deadline(t, time.Second), failed))
 	args.Turn = "next"
 	is.Equal(o.Begin(deadline(t, time.Second), args).Outcome, turns.Granted)
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -7,9 +7,9 @@
 const (
 	// Open turns reserve the maximum number of tokens that they can generate.
 	Open State = iota
-	// Failed turns ended without a complete answer; their tokens are those sent to the
-	// caller.
-	Failed
+	// Closed turns cannot be continued: their answer was incomplete, or their route stores no
+	// turns. Their tokens are those sent to the caller.
+	Closed
 	// Ended turns were answered completely and can be continued.
 	Ended
 )
