Send the next turn to the replica that has the session cached

Reading delays all other requests of the replica.

The owner of a program, which every turn asks for its reservation, now remembers the replica of each session's last turn, and answers with that of the program for a new sub-agent. The gain counts only the tokens after the part that programs share, which every replica soon has.

Ruled out: a hash of the program over the replicas, which ignores load at the first turn.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -21,6 +21,8 @@
 	Timeout time.Duration
 	// Program is the ID of the agent program; empty outside of programs.
 	Program string
+	// Session names the sequence of turns within the program.
+	Session string
 	// PreviousTurn is the ID of the turn that this turn continues.
 	PreviousTurn string
 	// Budget is the number of tokens that the program may generate; 0 means no limit.
@@ -28,5 +30,7 @@
 	// PromptTokens is the size of the prompt, MaxTokens the maximum number of tokens to
 	// generate.
 	PromptTokens int
+	// SharedTokens is the size of the part of the prompt that many programs have in common.
+	SharedTokens int
 	MaxTokens    int
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -56,13 +56,13 @@
 	if program == "" {
 		program = x.call.ID
 	}
-	args := turns.BeginArgs{Account: x.accountName(), Program: program, Turn: x.call.ID,
+	args := turns.BeginArgs{Account: x.accountName(), Program: program, Session: x.call.Session, Turn: x.call.ID,
 		Budget: x.call.Budget, MaxTokens: x.call.MaxTokens, RetentionMS: x.retention().Milliseconds()}
 	if x.route.StoresTurns {
 		args.Parent = x.call.PreviousTurn
 	}
 	t := &turn{x: x, tokensPerEvent: 1, record: turns.Turn{ID: args.Turn, Parent: args.Parent, Account: args.Account,
-		Program: program}}
+		Program: program, Session: x.call.Session}}
 	if x.route.StoresTurns {
 		t.record.Input = x.body
 	}
@@ -82,7 +82,7 @@
 		t.tokensPerEvent = max(x.service.Engine.TokensPerEvent, 1)
 	}
 	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Prefer: begun.Replica,
-		Gain: minPreviousReplicaGain + float64(x.call.PromptTokens)/prefillTokensPerMS/eventMS}
+		Gain: minPreviousReplicaGain + float64(x.call.PromptTokens-x.call.SharedTokens)/prefillTokensPerMS/eventMS}
 	a, err := x.dispatch(ctx, [][]byte{begun.Chain, x.body}, q)
 	if err != nil {
 		t.close(streamResult{})
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -23,6 +23,8 @@
 type BeginArgs struct {
 	Account string
 	Program string
+	// Session names the sequence of turns within the program.
+	Session string
 	Turn    string
 	Parent  string
 	// Budget is the number of tokens that the program may generate; 0 means no limit.
@@ -38,7 +40,7 @@
 	Outcome Outcome
 	// Chain is the history that the engine reads before the new input.
 	Chain []byte
-	// Replica is the replica that ran the parent.
+	// Replica is the replica that ran the parent or, without one, the session's last turn.
 	Replica string
 	// Uncertain is set if Outcome is Unavailable and tokens may be reserved nonetheless.
 	// The caller must settle the turn as failed, since only the caller can tell that the
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -133,6 +133,9 @@
 	}
 	g := p.programLocked(&t)
 	g.budget = args.Budget
+	if args.Parent == "" {
+		reply.Replica = g.replicaOf(args.Session)
+	}
 	used := g.used() - g.unrecorded[args.Turn]
 	if old := p.turns[args.Turn]; old != nil {
 		used -= old.Tokens
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -98,6 +98,7 @@
 		return
 	}
 	g := p.programLocked(t)
+	g.recordReplica(t)
 	if _, unrecorded := g.unrecorded[t.ID]; unrecorded {
 		// Until the turn is stored, its tokens count against the preallocation.
 		g.unrecorded[t.ID] = t.Tokens
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -40,12 +40,37 @@
 	maxReservation int
 	// budget is the caller's most recent value; 0 means no limit.
 	budget int
+	// replica is the replica that ran the last settled turn, and sessionReplicas the same by
+	// session for the turns that were settled at this owner.
+	replica         string
+	sessionReplicas map[string]string
 	// expiry is the latest expiry of a turn; the turns of a program are removed together.
 	expiry int64
 }
 
 func newProgram() *program {
-	return &program{turns: make(map[string]struct{}), unrecorded: make(map[string]int), foreignOffset: -1, releaseOffset: -1}
+	return &program{turns: make(map[string]struct{}), unrecorded: make(map[string]int),
+		sessionReplicas: make(map[string]string), foreignOffset: -1, releaseOffset: -1}
+}
+
+// recordReplica records the replica that ran a settled turn.
+func (g *program) recordReplica(t *Turn) {
+	if t.State == Open || t.Replica == "" {
+		return
+	}
+	g.replica = t.Replica
+	if t.Session != "" {
+		g.sessionReplicas[t.Session] = t.Replica
+	}
+}
+
+// replicaOf returns the replica that may have a session's history cached, or that of the
+// program from which the session branches off.
+func (g *program) replicaOf(session string) string {
+	if replica, known := g.sessionReplicas[session]; known {
+		return replica
+	}
+	return g.replica
 }
 
 // unrecordedTokens returns the number of tokens granted without a record.
