Resume streams of resumable routes after a broken connection

Cause: every stream was treated as non-idempotent, so a replica that crashed or reset a connection failed the turn, and the caller used its only retry.

On routes with `resumable` the host continues the same answer after the last complete event. The request goes to the same replica again, which has the prompt cached and does not add to the replicas of the attempt; if that accepts no connection it has ended, and another one continues. The first head stays, an incomplete event is dropped, events that the resumed stream repeats are dropped, and the budget counts each event once. Other streams run at most once as before. An unsigned 200 on a stream without stored turns is no longer passed on.

Ruled out: another replica while the first still runs, since routes have one attempt and its run would count as a second one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -100,7 +100,7 @@
 	}
 	record := lease.Record()
 	header := x.call.Header.Clone()
-	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName()})
+	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after})
 	request := &forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header,
 		Body: body, HasBody: x.call.HasBody, Addr: record.Addr, Instance: record.ID}
 	answer, err := x.g.pool.Send(attemptCtx, request, x.isAnswerToRequest)
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -15,6 +15,9 @@
 	Instance string
 	// Account is the client account of the request; empty on public routes.
 	Account string
+	// After is the ID of the event after which the stream continues; empty to start at the
+	// position that the caller requested.
+	After string
 }
 
 // AnswerInfo is the metadata of a replica's answer in addition to status and body.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,6 +35,10 @@
 	attempts   int
 	mayHaveRun bool
 	tried      map[string]bool
+	// resumptions counts the attempts that continue an earlier one.
+	resumptions int
+	// after is the ID of the last event that the caller was sent, if the stream is resumed.
+	after string
 	// replica is the ID of the replica that was tried last.
 	replica string
 	// status is the status code that was sent; 0 if the connection was aborted.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -36,7 +36,12 @@
 	return call, nil
 }
 
-func (codec) Encode(h http.Header, a gateway.Attempt) { h.Set("Account", a.Account) }
+func (codec) Encode(h http.Header, a gateway.Attempt) {
+	h.Set("Account", a.Account)
+	if a.After != "" {
+		h.Set("Last-Event-Id", a.After)
+	}
+}
 
 func (codec) Answer(h http.Header) gateway.AnswerInfo {
 	return gateway.AnswerInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Run") != ""}
@@ -77,10 +82,20 @@
 
 // testGateway is a gateway with upstreams that run in the test process.
 type testGateway struct {
-	entry    *httptest.Server
-	log      *storelog.Memory
-	source   *configSource
-	replicas *replica.Set
+	entry     *httptest.Server
+	log       *storelog.Memory
+	source    *configSource
+	replicas  *replica.Set
+	upstreams []*httptest.Server
+}
+
+// addUpstream starts an upstream and registers it as a replica of service s.
+func (gw *testGateway) addUpstream(t *testing.T, id string, handler http.HandlerFunc) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	gw.upstreams = append(gw.upstreams, server)
+	gw.replicas.Put(replica.Record{ID: id, Service: "s", Addr: strings.TrimPrefix(server.URL, "http://"), Domain: "z", Slots: 8})
 }
 
 // newTestGateway returns a gateway whose service s has the given upstreams. Freshness is how
@@ -101,14 +116,14 @@
 	}
 	chat := newRoute("chat", route.Streaming, 1)
 	chat.StoresTurns, chat.TurnRetention = true, time.Minute
+	resumable := newRoute("resumable", route.Streaming, 1)
+	resumable.Resumable = true
 	table := route.NewTable(1, []*route.Route{newRoute("safe", route.Safe, 3), newRoute("unsafe", route.Unsafe, 3), chat,
-		newRoute("draft", route.Streaming, 1)},
+		newRoute("draft", route.Streaming, 1), resumable},
 		[]*route.Service{{Name: "s"}}, []*route.Account{{Name: "acme", Keys: []string{"k"}}, {Name: "small", Keys: []string{"ks"}, Rate: 1, Burst: 1}}, route.Limits{BodyBytes: 1000}, true)
 	gw := &testGateway{log: log, source: &configSource{table: table}, replicas: replica.NewSet("z", events)}
 	for n, handler := range upstreams {
-		server := httptest.NewServer(handler)
-		t.Cleanup(server.Close)
-		gw.replicas.Put(replica.Record{ID: "r" + strconv.Itoa(n), Service: "s", Addr: strings.TrimPrefix(server.URL, "http://"), Domain: "z", Slots: 8})
+		gw.addUpstream(t, "r"+strconv.Itoa(n), handler)
 	}
 	one := func() int { return 1 }
 	limiter := quota.NewLimiter(quota.Bound{Window: 5 * time.Second, Excess: 0.1}, singleHost{}.counts)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -33,13 +33,13 @@
 	q := replica.Query{Service: x.service.Name, Class: x.route.Name}
 	body := [][]byte{x.body}
 	for {
-		a, err := x.dispatch(ctx, body, q)
+		a, err := x.startStream(ctx, body, q)
 		if err != nil {
 			x.fail(ctx, err)
 			return
 		}
-		if x.route.Kind == route.Streaming && a.answer.Status == http.StatusOK {
-			x.stream(ctx, a, nil)
+		if x.route.Kind == route.Streaming && a.answer.Status == http.StatusOK && a.info.Signed {
+			x.stream(ctx, a, body, q, nil)
 			return
 		}
 		content, err := x.readAnswer(a)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 
+	"github.com/samber/oops"
+
+	"cowslipgw/internal/forward"
 	"cowslipgw/internal/replica"
 )
 
@@ -20,13 +24,46 @@
 
 // stream forwards complete events as they arrive. Only the end of the stream is delayed
 // until the turn is stored; t is nil if the route stores none. If the upstream's stream
-// ends early, the caller's connection is aborted.
-func (x *exchange) stream(ctx context.Context, a *attempt, t *turn) {
+// ends early and cannot be resumed, the caller's connection is aborted.
+func (x *exchange) stream(ctx context.Context, a *attempt, body [][]byte, q replica.Query, t *turn) {
 	x.copyHeader(a.answer)
 	x.w.Header().Del("Content-Length")
 	x.status = a.answer.Status
-	flusher := http.NewResponseController(x.w)
 	var s eventParser
+	for {
+		err := x.copyEvents(a, &s)
+		if errors.Is(err, errCallerLeft) {
+			a.end(replica.Abandoned, s.count)
+			t.close(streamResult{events: s.count})
+			x.abort("caller disconnected")
+		}
+		if err == nil {
+			a.end(replica.Answered, s.count)
+			break
+		}
+		a.end(replica.Broken, s.count)
+		s.resume()
+		if x.mayResume(ctx, err) {
+			if a, err = x.continueStream(ctx, body, q, s.lastID); err == nil {
+				t.movedTo(x.replica)
+				continue
+			}
+		}
+		t.close(streamResult{events: s.count})
+		x.abort("replica stream ended early")
+	}
+	if !t.complete(ctx, streamResult{output: s.data, events: s.count}) {
+		x.abort("turn was not stored in time")
+	}
+}
+
+// errCallerLeft is returned if the caller's connection cannot be written to.
+var errCallerLeft = errors.New("caller disconnected")
+
+// copyEvents forwards the complete events of one attempt. It returns nil if the stream ended
+// after a complete event.
+func (x *exchange) copyEvents(a *attempt, s *eventParser) error {
+	flusher := http.NewResponseController(x.w)
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := a.answer.Read(buffer)
@@ -36,23 +73,17 @@
 				writeErr = flusher.Flush()
 			}
 			if writeErr != nil {
-				a.end(replica.Abandoned, s.count)
-				t.close(streamResult{events: s.count})
-				x.abort("caller disconnected")
+				return errCallerLeft
 			}
 		}
-		if err == nil {
-			continue
-		}
-		if err != io.EOF || len(s.partial) > 0 {
-			a.end(replica.Broken, s.count)
-			t.close(streamResult{events: s.count})
-			x.abort("replica stream ended early")
-		}
-		a.end(replica.Answered, s.count)
-		if !t.complete(ctx, streamResult{output: s.data, events: s.count}) {
-			x.abort("turn was not stored in time")
+		switch {
+		case err == nil:
+		case err == io.EOF && len(s.partial) == 0:
+			return nil
+		case err == io.EOF:
+			return io.ErrUnexpectedEOF
+		default:
+			return oops.With("cause", err.Error()).Wrap(forward.ErrBroken)
 		}
-		return
 	}
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -83,7 +83,8 @@
 	}
 	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Prefer: begun.Replica,
 		Gain: minPreviousReplicaGain + float64(x.call.PromptTokens-x.call.SharedTokens)/prefillTokensPerMS/eventMS}
-	a, err := x.dispatch(ctx, [][]byte{begun.Chain, x.body}, q)
+	body := [][]byte{begun.Chain, x.body}
+	a, err := x.startStream(ctx, body, q)
 	if err != nil {
 		t.close(streamResult{})
 		x.fail(ctx, err)
@@ -91,7 +92,7 @@
 	}
 	t.record.Replica = x.replica
 	if a.answer.Status == http.StatusOK && a.info.Signed {
-		x.stream(ctx, a, t)
+		x.stream(ctx, a, body, q, t)
 		return
 	}
 	content, err := x.readAnswer(a)
@@ -119,6 +120,13 @@
 	}
 }
 
+// movedTo records the replica at which the turn is resumed.
+func (t *turn) movedTo(replica string) {
+	if t != nil {
+		t.record.Replica = replica
+	}
+}
+
 // complete stores a turn that was answered completely. It reports whether the turn is
 // stored before ctx ends: an answer must not look complete while its turn could still be
 // lost. A turn that no other can continue is settled without waiting, since its reservation
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -47,6 +47,8 @@
 	// the time which that saves, as a fraction of the baseline latency.
 	Prefer string
 	Gain   float64
+	// Only, if set, is the ID of the only replica that may be chosen.
+	Only string
 	// Exclude holds the IDs of replicas that were already tried.
 	Exclude map[string]bool
 }
@@ -91,6 +93,9 @@
 	if !r.removeAt.IsZero() && now.After(r.removeAt) {
 		return false
 	}
+	if q.Only != "" {
+		return r.record.ID == q.Only
+	}
 	return !r.record.Draining && !q.Exclude[r.record.ID]
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -43,6 +43,9 @@
 	// TurnRetention is for how long.
 	StoresTurns   bool
 	TurnRetention time.Duration
+	// Resumable is set if a stream can be continued after any of its events, by another replica
+	// as well.
+	Resumable bool
 	// EventGap is the maximum interval between two events for a stream to be on time.
 	EventGap time.Duration
 }
