Watch each host by a few others instead of all

Cause: each host sent its heartbeats, with the usage of every account, to all others at an interval that grows with the fleet. At 295 hosts that is 23,600 datagrams a second, 56 us each to decode, and a dead host was noticed after 13 s. Each choice of an owner sorted all hosts (0.1 ms), 64 times a second on every host for preloading alone, and 64 times on every host for each search for a turn.

A host now sends heartbeats five times a second to its next live successors on a ring of hashes; three of them watch it, and two reports of its silence remove it everywhere. Changes of a condition go to all hosts at once, twice. A watcher asks before it misses a host; a paused host gives the others time and asks all; a host that misses several asks all, since it may be in a minority. Up to 16 hosts everyone watches everyone. Candidates are cached until a host changes. Usage of accounts goes to the owner of the bucket and the next two. A bucket's owner no longer moves when it loses the store, which it does not need.

Ruled out: random probing with gossip (SWIM), whose detection time varies more for the same traffic, and hash-ring watchers without retraction of reports, after which hosts stayed down once their watchers had changed.

A host of an earlier build neither understands the new heartbeats nor is heard by new hosts.

--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -8,27 +8,26 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
-	"cowslipgw/internal/boottime"
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/guard"
 )
 
-const (
-	// maxDatagram is the maximum size of a received heartbeat.
-	maxDatagram = 16 << 10
-	// changePollInterval is how often this host's condition is checked for changes.
-	changePollInterval = 100 * time.Millisecond
-)
+// maxDatagram is the maximum size of a received message.
+const maxDatagram = 16 << 10
 
-// Beacon sends and receives heartbeats over UDP.
+// Beacon exchanges the messages of a table over UDP.
 type Beacon struct {
 	table *Table
 	conn  *net.UDPConn
-	// fill completes a heartbeat of this host; received is called with those of others.
-	fill     func(*Heartbeat)
+	// usage returns the usage of client accounts to send, by the ID of the host that needs
+	// it; received is called with the messages of other hosts.
+	usage    func() map[string]map[uint32]Usage
 	received func(Heartbeat)
+	events   *event.Logger
 }
 
 // NewBeacon returns a beacon that listens on the address of the table's own host.
-func NewBeacon(table *Table, fill func(*Heartbeat), received func(Heartbeat)) (*Beacon, error) {
+func NewBeacon(table *Table, usage func() map[string]map[uint32]Usage, received func(Heartbeat), events *event.Logger) (*Beacon, error) {
 	addr, err := net.ResolveUDPAddr("udp4", table.self.Addr)
 	if err != nil {
 		return nil, oops.Wrapf(err, "resolve own heartbeat address")
@@ -37,23 +36,22 @@
 	if err != nil {
 		return nil, oops.Wrapf(err, "listen for heartbeats")
 	}
-	return &Beacon{table: table, conn: conn, fill: fill, received: received}, nil
+	return &Beacon{table: table, conn: conn, usage: usage, received: received, events: events}, nil
 }
 
 // Close closes the socket, which ends Receive.
 func (b *Beacon) Close() error { return b.conn.Close() }
 
-// Run sends heartbeats until ctx is done: at regular intervals, and soon after a change of
-// this host's condition.
+// Run sends the messages that are due until ctx is done.
 func (b *Beacon) Run(ctx context.Context) {
-	ticker := time.NewTicker(changePollInterval)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var last Condition
-	var sent boottime.Instant
 	for ctx.Err() == nil {
-		if now := b.table.condition(); now != last || boottime.Since(sent) >= b.table.Interval() {
-			last, sent = now, boottime.Now()
-			b.Send()
+		for _, d := range b.table.Tick() {
+			b.send(d)
+		}
+		for _, d := range b.table.usageMessages(b.usage()) {
+			b.send(d)
 		}
 		select {
 		case <-ticker.C:
@@ -62,23 +60,26 @@
 	}
 }
 
-// Send sends one heartbeat to every other host.
-func (b *Beacon) Send() {
-	beat := Heartbeat{Host: b.table.self, Condition: b.table.condition()}
-	b.fill(&beat)
-	data, err := cbor.Marshal(beat)
+// Announce sends this host's condition to all other hosts.
+func (b *Beacon) Announce() { b.send(b.table.Announce()) }
+
+func (b *Beacon) send(d Datagram) {
+	if len(d.To) == 0 {
+		return
+	}
+	data, err := cbor.Marshal(d.Message)
 	if err != nil {
 		panic("encode heartbeat: " + err.Error())
 	}
-	for _, h := range b.table.Others() {
+	for _, h := range d.To {
 		if addr, err := net.ResolveUDPAddr("udp4", h.Addr); err == nil {
-			// The next heartbeat makes up for a lost datagram.
+			// A lost datagram is made up for by later ones.
 			_, _ = b.conn.WriteToUDP(data, addr)
 		}
 	}
 }
 
-// Receive passes heartbeats to the table until the beacon is closed.
+// Receive passes messages to the table until the beacon is closed.
 func (b *Beacon) Receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -89,12 +90,21 @@
 			}
 			return
 		}
-		var beat Heartbeat
-		if cbor.Unmarshal(buffer[:n], &beat) != nil {
-			continue // not a heartbeat of this system
-		}
-		if b.table.HandleHeartbeat(beat) {
-			b.received(beat)
-		}
+		guard.Run(b.events, "heartbeat", func() { b.receive(buffer[:n]) })
+	}
+}
+
+// receive handles one datagram.
+func (b *Beacon) receive(data []byte) {
+	var beat Heartbeat
+	if cbor.Unmarshal(data, &beat) != nil {
+		return // not a message of this system
+	}
+	reply, ok := b.table.Handle(beat)
+	if reply != nil {
+		b.send(*reply)
+	}
+	if ok && len(beat.Usage) > 0 {
+		b.received(beat)
 	}
 }
--- a/internal/peers/beacon_test.go
+++ b/internal/peers/beacon_test.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"cowslipgw/internal/event"
 )
 
-// TestChangeIsSentAtOnce guards against a delay in large fleets, where the interval between
-// heartbeats is long: the loss of the store must be sent before the next regular heartbeat.
+// TestChangeIsSentAtOnce guards against a delay in large fleets, where most hosts receive no
+// regular heartbeats: the loss of the store must reach them within one interval.
 func TestChangeIsSentAtOnce(t *testing.T) {
 	is := is.New(t)
 	var healthy atomic.Bool
@@ -20,12 +23,13 @@
 	is.NoErr(err)
 	defer func() { _ = other.Close() }()
 	table := NewTable(Host{ID: "0", Addr: "127.0.0.1:0"}, healthy.Load)
-	for _, id := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
-		table.HandleHeartbeat(Heartbeat{Host: Host{ID: id, Incarnation: 1, Addr: "127.0.0.1:9"}})
+	for n := 1; n < 40; n++ {
+		table.HandleHeartbeat(Heartbeat{Host: Host{ID: strconv.Itoa(n), Incarnation: 1, Addr: "127.0.0.1:9"}})
 	}
-	table.HandleHeartbeat(Heartbeat{Host: Host{ID: "10", Incarnation: 1, Addr: other.LocalAddr().String()}})
+	farthest := table.ringLocked()[38]
+	farthest.host.Addr = other.LocalAddr().String()
 	var beats atomic.Int64
-	beacon, err := NewBeacon(table, func(*Heartbeat) {}, func(Heartbeat) {})
+	beacon, err := NewBeacon(table, func() map[string]map[uint32]Usage { return nil }, func(Heartbeat) {}, event.Discard())
 	is.NoErr(err)
 	defer func() { _ = beacon.Close() }()
 	go func() {
@@ -48,5 +52,5 @@
 	for beats.Load() == 1 {
 		time.Sleep(time.Millisecond)
 	}
-	is.True(time.Since(start) < minInterval)
+	is.True(time.Since(start) < heartbeatInterval)
 }
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -14,14 +14,27 @@
 	Overloaded bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Heartbeat is the message that each host sends to all others periodically, in a small
-// fleet several times a second.
+// Heartbeat is the message that hosts exchange. Each one proves that its sender is alive.
 type Heartbeat struct {
 	Host Host `cbor:"1,keyasint"`
 	Condition
 	// Usage is the usage of client accounts at the host since the start of its incarnation,
-	// by the hash of the account's name.
+	// by the hash of the account's name. It is sent to the next owners of each account.
 	Usage map[uint32]Usage `cbor:"4,keyasint,omitempty"`
+	// Sequence orders the heartbeats of one incarnation.
+	Sequence uint64 `cbor:"7,keyasint,omitempty"`
+	// Hello asks the receiver for its own heartbeat.
+	Hello bool `cbor:"8,keyasint,omitempty"`
+	// Reports are changes in what the sender hears of the hosts that it watches.
+	Reports []Report `cbor:"9,keyasint,omitempty"`
+}
+
+// Report tells whether a watcher hears a host that it watches.
+type Report struct {
+	_           struct{} `cbor:",toarray"`
+	Host        string
+	Incarnation int64
+	Missing     bool
 }
 
 // Usage counts the requests of a client account.
@@ -31,4 +44,7 @@
 	// that the admitted programs are expected to need.
 	Admitted  uint32
 	Committed uint32
+	// Recent is the number of requests in the current window, from all hosts that the sender
+	// knows of. It informs a receiver without earlier counts.
+	Recent uint32
 }
--- a/internal/peers/interfaces.go
+++ b/internal/peers/interfaces.go
@@ -6,6 +6,8 @@
 type Hosts interface {
 	Self() Host
 	Candidates(key uint64, limit int) []Host
+	// StorelessCandidates is like Candidates for a key whose owner does not need the store.
+	StorelessCandidates(key uint64, limit int) []Host
 	// Others returns all other known hosts, including those that are not alive.
 	Others() []Host
 }
--- a/internal/peers/serving.go
+++ b/internal/peers/serving.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"cowslipgw/internal/boottime"
 )
 
 const (
@@ -22,15 +20,14 @@
 // connections, and a request takes less time. Overloaded hosts are left out while they are
 // few.
 func (t *Table) Serving(domain string) []Host {
-	own := t.condition()
 	t.mu.Lock()
-	now, timeout := boottime.Now(), t.timeoutLocked()
+	own := t.conditionLocked()
 	var normal, overloaded []Host
 	if own.Serving {
 		normal, overloaded = appendHost(normal, overloaded, t.self, own.Overloaded)
 	}
 	for _, m := range t.members {
-		if m.Serving && !m.Leaving && m.alive(now, timeout) {
+		if m.Serving && !m.Leaving && m.alive() && !t.isolated {
 			normal, overloaded = appendHost(normal, overloaded, m.host, m.Overloaded)
 		}
 	}
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -1,50 +1,53 @@
 package peers
 
 import (
-	"cmp"
-	"math"
-	"slices"
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cowslipgw/internal/boottime"
 )
 
-const (
-	// minInterval is the interval between heartbeats in a small fleet.
-	minInterval = 200 * time.Millisecond
-	// intervalPerHost limits the cost of heartbeats in a large fleet: the interval grows
-	// with the number of hosts, so that a host sends at most 80 datagrams a second.
-	intervalPerHost = 12500 * time.Microsecond
-	// maxMissedHeartbeats is the number of heartbeat intervals without a heartbeat after
-	// which a host is no longer alive.
-	maxMissedHeartbeats = 3.5
-	// recordTimeout is the age at which a record that is not renewed expires.
-	recordTimeout = 40 * time.Second
-)
+// recordTimeout is the age at which a record that is not renewed expires.
+const recordTimeout = 40 * time.Second
 
-// Table holds the known hosts and their state. Its methods are safe for concurrent use.
+// Table holds the known hosts and their state. Each host sends its heartbeats to a few
+// watchers, which announce to all when they no longer hear it, so that the cost of a host
+// and the time to detect its loss do not grow with the fleet. The methods are safe for
+// concurrent use.
 type Table struct {
 	self Host
 	// storeHealthy reports whether this host reaches the store.
 	storeHealthy func() bool
+	// overloaded reports whether this host lacks processor time.
+	overloaded func() bool
+	now        func() boottime.Instant
 
 	mu      sync.Mutex
 	members map[string]*member
+	// ring holds the members in the order of their positions; nil after a change.
+	ring []*member
+	// view is nil after a change of a host's condition.
+	view    *view
 	leaving bool
 	serving bool
-	// overloaded reports whether this host lacks processor time.
-	overloaded func() bool
+	// lastHeard is when the last message of any host arrived. Isolated is set if that is so
+	// long ago that this host must be cut off from all others.
+	lastHeard boottime.Instant
+	isolated  bool
+	// judgeFrom is the end of this host's last pause; silence before it says nothing about
+	// other hosts.
+	judgeFrom boottime.Instant
+	// missingCount is the number of watched hosts that are missing.
+	missingCount int
+	sending      announcements
 }
 
 // NewTable returns a table that contains only this host. The function storeHealthy reports
 // whether this host reaches the store.
 func NewTable(self Host, storeHealthy func() bool) *Table {
 	return &Table{self: self, storeHealthy: storeHealthy, members: make(map[string]*member),
-		overloaded: func() bool { return false }}
+		overloaded: func() bool { return false }, now: boottime.Now}
 }
 
 // SetOverloaded sets the function that reports whether this host lacks processor time. It
@@ -70,29 +73,14 @@
 
 // condition returns the condition that this host reports in its heartbeats.
 func (t *Table) condition() Condition {
-	c := Condition{StoreLost: !t.storeHealthy(), Overloaded: t.overloaded()}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c.Leaving, c.Serving = t.leaving, t.serving && !t.leaving
-	return c
-}
-
-// interval returns the heartbeat interval of a fleet of n hosts.
-func interval(n int) time.Duration {
-	return max(minInterval, time.Duration(n)*intervalPerHost)
-}
-
-// Interval returns the current heartbeat interval.
-func (t *Table) Interval() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return interval(len(t.members) + 1)
+	return t.conditionLocked()
 }
 
-// timeoutLocked returns the time in nanoseconds without a heartbeat after which a host is
-// no longer alive.
-func (t *Table) timeoutLocked() int64 {
-	return int64(maxMissedHeartbeats * float64(interval(len(t.members)+1)))
+func (t *Table) conditionLocked() Condition {
+	return Condition{StoreLost: !t.storeHealthy(), Overloaded: t.overloaded(), Leaving: t.leaving,
+		Serving: t.serving && !t.leaving}
 }
 
 // HandleRecord adds a host whose record was read from the store, or renews its record. The
@@ -103,24 +91,27 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	m := t.members[h.ID]
 	if m == nil || m.host.Incarnation < h.Incarnation {
-		m = &member{host: h}
+		m = newMember(h, now)
 		t.members[h.ID] = m
+		t.ring, t.view = nil, nil
 	}
-	m.lastRecord = boottime.Now()
+	m.lastRecord = now
 }
 
-// Expire removes the hosts whose record has expired and that send no heartbeats. It must
-// only be called while the store is read without gaps; otherwise it removes hosts whose
+// Expire removes the hosts whose record has expired and that were not heard for as long. It
+// must only be called while the store is read without gaps; otherwise it removes hosts whose
 // renewals were not read.
 func (t *Table) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := boottime.Now()
+	now := t.now()
 	for id, m := range t.members {
 		if now.Sub(m.lastRecord) > recordTimeout && now.Sub(m.lastHeartbeat) > recordTimeout {
 			delete(t.members, id)
+			t.ring, t.view = nil, nil
 		}
 	}
 }
@@ -128,23 +119,8 @@
 // HandleHeartbeat updates the table with a heartbeat. It returns false and ignores the
 // heartbeat if it is from this host or from an earlier incarnation.
 func (t *Table) HandleHeartbeat(b Heartbeat) bool {
-	if b.Host.ID == t.self.ID {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	m := t.members[b.Host.ID]
-	if m != nil && m.host.Incarnation > b.Host.Incarnation {
-		return false
-	}
-	if m == nil || m.host.Incarnation < b.Host.Incarnation {
-		m = &member{host: b.Host, lastRecord: boottime.Now()}
-		t.members[b.Host.ID] = m
-	}
-	m.lastHeartbeat = boottime.Now()
-	m.Condition = b.Condition
-	m.heartbeatReceived(m.lastHeartbeat)
-	return true
+	_, ok := t.handleHeartbeat(b)
+	return ok
 }
 
 // Suspect marks a host as suspect after a call to it failed.
@@ -152,7 +128,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if m := t.members[id]; m != nil {
-		m.callFailed(boottime.Now())
+		m.callFailed(t.now())
+		t.view = nil
 	}
 }
 
@@ -160,10 +137,7 @@
 func (t *Table) Others() []Host {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	hosts := make([]Host, 0, len(t.members))
-	for _, m := range t.members {
-		hosts = append(hosts, m.host)
-	}
+	hosts := t.allLocked()
 	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
 	return hosts
 }
@@ -172,23 +146,15 @@
 func (t *Table) Counts() (known, alive int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now, timeout := boottime.Now(), t.timeoutLocked()
-	alive = 1
-	for _, m := range t.members {
-		if m.alive(now, timeout) {
-			alive++
-		}
-	}
-	return len(t.members) + 1, alive
+	return len(t.members) + 1, len(t.viewLocked().hosts)
 }
 
 // StoreReachableElsewhere reports whether another live host reaches the store.
 func (t *Table) StoreReachableElsewhere() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now, timeout := boottime.Now(), t.timeoutLocked()
 	for _, m := range t.members {
-		if m.alive(now, timeout) && !m.StoreLost {
+		if m.alive() && !t.isolated && !m.StoreLost {
 			return true
 		}
 	}
@@ -201,92 +167,3 @@
 	defer t.mu.Unlock()
 	return len(t.members) + 1
 }
-
-// Ranks of candidates. Hosts with a lower rank are preferred.
-const (
-	rankAlive = iota
-	rankOverloaded
-	rankLeaving
-	rankStoreLost
-)
-
-// rank returns the rank of a host in this condition. partialOutage is the result of
-// partialOutageLocked: hosts that cannot reach the store rank last only if at least half of
-// the live hosts reach it.
-func (c Condition) rank(partialOutage bool) int {
-	switch {
-	case c.StoreLost && partialOutage:
-		return rankStoreLost
-	case c.Leaving:
-		return rankLeaving
-	case c.Overloaded:
-		return rankOverloaded
-	default:
-		return rankAlive
-	}
-}
-
-// candidate is a host with its sort order for a key.
-type candidate struct {
-	host  Host
-	rank  int
-	score float64
-}
-
-// Candidates returns up to limit hosts that may own key, in order of preference. Live hosts
-// are ordered by rendezvous hashing, weighted by processor time. Overloaded hosts come after
-// all others, then leaving hosts, and then, in a partial outage of the store, the hosts that
-// cannot reach it.
-func (t *Table) Candidates(key uint64, limit int) []Host {
-	own := t.condition()
-	t.mu.Lock()
-	now, timeout := boottime.Now(), t.timeoutLocked()
-	partialOutage := t.partialOutageLocked(now, timeout, own.StoreLost)
-	list := make([]candidate, 0, len(t.members)+1)
-	list = append(list, candidate{t.self, own.rank(partialOutage), score(key, t.self)})
-	for _, m := range t.members {
-		if m.alive(now, timeout) {
-			list = append(list, candidate{m.host, m.rank(partialOutage), score(key, m.host)})
-		}
-	}
-	t.mu.Unlock()
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.score, a.score))
-	})
-	hosts := make([]Host, 0, min(limit, len(list)))
-	for _, c := range list[:min(limit, len(list))] {
-		hosts = append(hosts, c.host)
-	}
-	return hosts
-}
-
-// partialOutageLocked reports whether at least half of the live hosts reach the store. If
-// fewer do, owners do not change: the store is down, or it is recovering and hosts notice
-// that one after the other, and each change of an owner would load partitions again.
-func (t *Table) partialOutageLocked(now boottime.Instant, timeout int64, selfLost bool) bool {
-	reachable, alive := 0, 1
-	if !selfLost {
-		reachable = 1
-	}
-	for _, m := range t.members {
-		if m.alive(now, timeout) {
-			alive++
-			if !m.StoreLost {
-				reachable++
-			}
-		}
-	}
-	return 2*reachable >= alive
-}
-
-// score returns the weighted rendezvous score of a host for a key. Each host has the highest
-// score for a share of the keys that is proportional to its weight.
-func score(key uint64, h Host) float64 {
-	x := xxhash.Sum64String(h.ID) ^ key*0x9e3779b97f4a7c15
-	x ^= x >> 32
-	x *= 0xd6e8feb86659fd93
-	x ^= x >> 32
-	const mantissa = 53
-	uniform := (float64(x>>(64-mantissa)) + 0.5) / (1 << mantissa)
-	return -h.weight() / math.Log(uniform)
-}
--- a/internal/peers/table_test.go
+++ b/internal/peers/table_test.go
@@ -3,7 +3,6 @@
 import (
 	"strconv"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -82,9 +81,15 @@
 func TestServing(t *testing.T) {
 	is := is.New(t)
 	table := newTestTable(5, true)
+	now := boottime.Now()
+	table.now = func() boottime.Instant { return now }
+	table.Tick()
+	now = now.Add(heartbeatTimeout)
 	table.HandleHeartbeat(Heartbeat{Host: Host{ID: "1", Incarnation: 1}, Condition: Condition{Serving: true, Leaving: true}})
 	table.HandleHeartbeat(Heartbeat{Host: Host{ID: "2", Incarnation: 1}})
-	table.members["3"].lastHeartbeat = boottime.Now().Add(-time.Minute)
+	table.HandleHeartbeat(Heartbeat{Host: Host{ID: "4", Incarnation: 1}, Condition: Condition{Serving: true}})
+	table.sending.lastTick = now // not paused
+	table.Tick()
 	hosts := table.Serving("z")
 	is.Equal(len(hosts), 1)
 	is.Equal(hosts[0].ID, "4")
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -49,8 +49,9 @@
 	// cost is the expected demand of the last program that requested to start.
 	cost       float64
 	lastRefill boottime.Instant
-	// usage counts what this host has admitted and committed.
-	usage peers.Usage
+	// usage counts what this host has admitted and committed, at usedAt for the last time.
+	usage  peers.Usage
+	usedAt boottime.Instant
 	// remoteUsage holds the last usage received from each other host.
 	remoteUsage map[string]hostUsage
 }
@@ -129,6 +130,7 @@
 		b.localLevel--
 	}
 	b.usage.Admitted++
+	b.usedAt = now
 	return true
 }
 
@@ -164,6 +166,7 @@
 		b.localLevel++
 	}
 	b.usage.Admitted--
+	b.usedAt = now
 }
 
 // retryAfter returns the time until the bucket can admit a request that was refused.
@@ -182,13 +185,19 @@
 	return max(windowWait, time.Duration(deficit/rate*float64(time.Second)))
 }
 
-// applyUsage subtracts what another host has used since its previous heartbeat. Its
-// counters decrease when it refunds requests.
+// applyUsage subtracts what another host has used since its previous report. Its counters
+// decrease when it refunds requests.
 func (b *bucket) applyUsage(host string, incarnation int64, used peers.Usage) {
 	last, known := b.remoteUsage[host]
 	b.remoteUsage[host] = hostUsage{incarnation: incarnation, usage: used}
-	if !known || b.rate == 0 {
-		return // no baseline: the counters may include usage from before the bucket was set up
+	if b.rate == 0 {
+		return
+	}
+	if !known {
+		// Without a baseline the counters may include usage from long ago.
+		b.admitted.add(max(float64(used.Recent)-b.admitted.sum, 0))
+		b.level = min(b.level, b.windowLimit()-b.admitted.sum)
+		return
 	}
 	if last.incarnation != incarnation {
 		last.usage = peers.Usage{}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/route"
 )
@@ -14,6 +17,16 @@
 // and decides immediately.
 const takeTimeout = 60 * time.Millisecond
 
+const (
+	// usageInterval is the interval between two reports of usage.
+	usageInterval = 200 * time.Millisecond
+	// usageRepeat is the interval at which unchanged usage is reported again, since reports
+	// may be lost and the hosts that need them change.
+	usageRepeat = time.Second
+	// usageReceivers is the number of hosts that are told the usage of an account.
+	usageReceivers = 3
+)
+
 var ownerUnreachable = metrics.NewCounter("cowslipgw_quota_owner_unreachable_total")
 
 // Client admits requests through the owners of the accounts' buckets. While an owner is
@@ -22,11 +35,58 @@
 	hosts   peers.Hosts
 	caller  peers.Calls
 	limiter *Limiter
+
+	mu sync.Mutex
+	// reportedAt is when usage was last reported, and reported what each account's report
+	// contained.
+	reportedAt boottime.Instant
+	reported   map[uint32]sentUsage
+}
+
+// sentUsage is the usage that was last reported for an account.
+type sentUsage struct {
+	usage peers.Usage
+	at    boottime.Instant
 }
 
 // NewClient returns a client. Limiter holds the buckets of this host.
 func NewClient(hosts peers.Hosts, caller peers.Calls, limiter *Limiter) *Client {
-	return &Client{hosts: hosts, caller: caller, limiter: limiter}
+	return &Client{hosts: hosts, caller: caller, limiter: limiter, reported: make(map[uint32]sentUsage)}
+}
+
+// bucketKey returns the rendezvous hashing key of an account's bucket.
+func bucketKey(account uint32) uint64 { return uint64(account) << 8 }
+
+// UsageReports returns the usage to report at this moment, by the ID of the host that needs
+// it: the owner of the account's bucket and those that would own it next.
+func (c *Client) UsageReports() map[string]map[uint32]peers.Usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := boottime.Now()
+	if now.Sub(c.reportedAt) < usageInterval {
+		return nil
+	}
+	c.reportedAt = now
+	reports := make(map[string]map[uint32]peers.Usage)
+	usage := c.limiter.usage()
+	for account, used := range usage {
+		last := c.reported[account]
+		if last.usage == used && now.Sub(last.at) < usageRepeat {
+			continue
+		}
+		c.reported[account] = sentUsage{used, now}
+		for _, h := range c.hosts.StorelessCandidates(bucketKey(account), usageReceivers) {
+			if h.ID == c.hosts.Self().ID {
+				continue
+			}
+			if reports[h.ID] == nil {
+				reports[h.ID] = make(map[uint32]peers.Usage)
+			}
+			reports[h.ID][account] = used
+		}
+	}
+	maps.DeleteFunc(c.reported, func(account uint32, _ sentUsage) bool { _, used := usage[account]; return !used })
+	return reports
 }
 
 // Admit charges one request to an account's quota. An account without a rate is not
@@ -38,7 +98,7 @@
 	self := c.hosts.Self()
 	g := &Grant{args: TakeArgs{Account: account.Name, Version: version, Rate: account.Rate, Burst: max(account.Burst, 1),
 		Request: r}, host: self, owner: true}
-	owners := c.hosts.Candidates(uint64(accountHash(account.Name))<<8, 1)
+	owners := c.hosts.StorelessCandidates(bucketKey(accountHash(account.Name)), 1)
 	if len(owners) == 0 || owners[0].ID == self.ID {
 		return grantIfAdmitted(c.limiter.Take(g.args, true), g)
 	}
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -221,3 +221,23 @@
 		is.True(float64(maxInWindow) <= (rate*testWindow.Seconds()+rate)*(1+bound.Excess)+bound.Slack)
 	}
 }
+
+// TestNewOwnerWithoutBaseline guards against an account that gets the requests of a window
+// twice because its bucket moves to a host that has just begun to receive its usage.
+func TestNewOwnerWithoutBaseline(t *testing.T) {
+	is := is.New(t)
+	now := boottime.Now()
+	b := newBucket(Bound{Window: 5 * time.Second})
+	b.configure(1, 10, 50, now)
+	fleet := fleetSize{known: 2, alive: 2}
+	b.level = b.capacity()
+	b.refill(now, fleet)
+	b.applyUsage("x", 1, peers.Usage{Admitted: 5000, Recent: 90})
+	admitted := 0
+	for range 200 {
+		if b.take(now, fleet, Request{}, true) {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 10) // the window allows 100
+}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -85,20 +85,26 @@
 	return b
 }
 
-// Usage returns this host's usage counters for its heartbeat.
-func (l *Limiter) Usage() map[uint32]peers.Usage {
+// usage returns this host's counters of the accounts for which it has changed them in the last
+// window.
+func (l *Limiter) usage() map[uint32]peers.Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := make(map[uint32]peers.Usage, len(l.buckets))
+	now := boottime.Now()
+	counts := make(map[uint32]peers.Usage)
 	for account, b := range l.buckets {
-		if b.usage.Admitted > 0 {
-			counts[account] = b.usage
+		if b.usedAt == 0 || now.Sub(b.usedAt) > l.bound.Window {
+			continue
 		}
+		b.admitted.advance(now, l.bound.Window)
+		used := b.usage
+		used.Recent = uint32(b.admitted.sum)
+		counts[account] = used
 	}
 	return counts
 }
 
-// ApplyUsage applies the usage counters from another host's heartbeat.
+// ApplyUsage applies the usage counters of another host.
 func (l *Limiter) ApplyUsage(host string, incarnation int64, usage map[uint32]peers.Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
