Limit what replicas and callers may send, and confine panics

Causes, each with a test that failed before: - A head without end of a replica was read into memory until the deadline; so were interim answers and the body of an answer to another request. 256 KiB may precede the body of an answer now. - An event without end was buffered. It is limited to 1 MiB. - A stream could exceed the tokens that its turn had reserved. One that does not read its answer held the handler; writes end one second after the deadline. - A panic in a call of another host ended the process (net/rpc does not recover).

Slow streams within the deadline are not cut, and dripping ones end at it; both held before and have tests now.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -45,6 +45,8 @@
 	drainPollInterval = 20 * time.Millisecond
 	// sweepInterval is how often idle connections to replicas are checked.
 	sweepInterval = time.Second
+	// servingCheckInterval is how often the host checks whether it can serve callers.
+	servingCheckInterval = 200 * time.Millisecond
 	// preloadInterval is how often the partitions that may move to this host are
 	// preloaded.
 	preloadInterval = time.Second
@@ -101,11 +103,10 @@
 	p.owner = turns.NewOwner(p.table.Self(), store, p.client, s.StorePartitions, events)
 	p.client.SetOwner(p.owner)
 	var err error
-	p.beacon, err = peers.NewBeacon(p.table, func(b *peers.Heartbeat) {
-		b.Usage = limiter.Usage()
-	}, func(b peers.Heartbeat) {
+	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
+	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, func(b peers.Heartbeat) {
 		limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
-	})
+	}, events)
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +115,7 @@
 		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
 	p.pool = forward.NewPool()
-	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quota.NewClient(p.table, peerCaller, limiter), Costs: quota.NewCostEstimator(),
+	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
 		Replicas: replicas, Pool: p.pool, Turns: p.client, Events: events,
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
@@ -177,7 +178,7 @@
 	go p.owner.Sweep(ctx, p.client.Owns)
 	go every(ctx, sweepInterval, p.pool.Sweep)
 	go p.preload(ctx)
-	go every(ctx, p.table.Interval(), func() { p.table.SetServing(p.ready()) })
+	go every(ctx, servingCheckInterval, func() { p.table.SetServing(p.ready()) })
 	go p.handleReloads(ctx)
 }
 
@@ -223,10 +224,10 @@
 // servePeers starts the RPC server for other hosts.
 func (p *gatewayProcess) servePeers() error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(turns.ServiceName, turns.NewService(p.owner, p.client.Owns)); err != nil {
+	if err := server.RegisterName(turns.ServiceName, turns.NewService(p.owner, p.client.Owns, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
-	if err := server.RegisterName(quota.ServiceName, quota.NewService(p.limiter)); err != nil {
+	if err := server.RegisterName(quota.ServiceName, quota.NewService(p.limiter, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
 	listener, err := net.Listen("tcp", p.table.Self().Addr)
@@ -245,7 +246,7 @@
 	p.events.Log(event.HostDraining, event.Fields{"host": p.settings.Host, "active": p.gateway.Active()})
 	p.gateway.Drain()
 	p.table.SetLeaving()
-	p.beacon.Send()
+	p.beacon.Announce()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(p.settings.Grace-exitMargin))
 	defer cancel()
 	time.Sleep(drainDelay)
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -11,9 +12,37 @@
 // fit in it.
 const readBufferSize = 2 << 10
 
+// maxHead is the maximum number of bytes that a replica may send before the body of the answer,
+// with answers to other requests that precede it.
+const maxHead = 256 << 10
+
+// errHeadTooLong is returned by reads of a connection on which maxHead is exceeded.
+var errHeadTooLong = errors.New("too many bytes before the answer")
+
+// headLimiter limits how much is read from a connection before the body of an answer.
+type headLimiter struct {
+	net.Conn
+	// remaining is the number of bytes that may still be read; negative for no limit.
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if l.remaining < 0 {
+		return l.Conn.Read(p)
+	}
+	if l.remaining == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Conn.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // conn is a connection to a replica. It carries one request at a time.
 type conn struct {
 	net.Conn
+	head   *headLimiter
 	reader *bufio.Reader
 	// idleSince is the time at which the last answer ended.
 	idleSince time.Time
@@ -22,7 +51,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	head := &headLimiter{Conn: c, remaining: -1}
+	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
 }
 
 // reusable reports whether an idle connection is still open and has no bytes to read.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -63,6 +63,8 @@
 // receive reads answers until one belongs to the request.
 func receive(c *conn, r *Request, matches func(int, http.Header) bool) (*Answer, error) {
 	request := &http.Request{Method: r.Method}
+	c.head.remaining = maxHead
+	defer func() { c.head.remaining = -1 }()
 	for unmatched := 0; unmatched <= maxUnmatched; {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +18,9 @@
 // rejection would cost the caller one of few retries, and then the whole program.
 const maxRateWait = 300 * time.Millisecond
 
+// writeGrace is how long after the deadline of a request the end of its answer may be written.
+const writeGrace = time.Second
+
 // defaultBodyLimit is the maximum body size if the configuration sets none.
 const defaultBodyLimit = 4 << 20
 
@@ -38,27 +42,44 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	x.deadline = x.start.Add(x.timeout())
+	x.limitConnection(x.deadline)
 	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		switch {
+		case errors.As(err, &tooLarge):
 			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
 		}
 		return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
 	}
+	// The server keeps reading to notice that the caller disconnects.
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 	// Reading the body may have taken long, so check again that the key has not gone stale.
 	if x.account != nil && !x.g.config.KeysUsable() {
 		return x.g.refuseStaleKeys()
 	}
-	if f := x.admitRate(r.Context()); f != nil {
-		return f
-	}
-	timeout := x.route.Timeout
-	if call.Timeout > 0 && (timeout <= 0 || call.Timeout < timeout) {
-		timeout = call.Timeout
+	return x.admitRate(r.Context())
+}
+
+// timeout returns how long the request may take: the caller's timeout or the route's, whichever
+// is shorter.
+func (x *exchange) timeout() time.Duration {
+	if x.call.Timeout > 0 && (x.route.Timeout <= 0 || x.call.Timeout < x.route.Timeout) {
+		return x.call.Timeout
 	}
-	x.deadline = x.start.Add(timeout)
-	return nil
+	return x.route.Timeout
+}
+
+// limitConnection ends reads of the caller's body at the deadline, and writes to a caller that
+// does not read a little later. Each request sets both anew.
+func (x *exchange) limitConnection(deadline time.Time) {
+	connection := http.NewResponseController(x.w)
+	// An error means that the connection has no deadlines, as in tests without a network.
+	_ = connection.SetReadDeadline(deadline)
+	_ = connection.SetWriteDeadline(deadline.Add(writeGrace))
 }
 
 // admitRate charges the request to the client account's quota.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -73,7 +73,10 @@
 
 func (singleHost) Self() peers.Host                    { return peers.Host{ID: "self"} }
 func (singleHost) Candidates(uint64, int) []peers.Host { return []peers.Host{{ID: "self"}} }
-func (singleHost) Others() []peers.Host                { return nil }
+func (singleHost) StorelessCandidates(uint64, int) []peers.Host {
+	return []peers.Host{{ID: "self"}}
+}
+func (singleHost) Others() []peers.Host { return nil }
 func (singleHost) Release(context.Context, turns.ReleaseArgs) (turns.ReleaseReply, turns.Presence) {
 	return turns.ReleaseReply{}, turns.Unreachable
 }
@@ -82,6 +85,7 @@
 
 // testGateway is a gateway with upstreams that run in the test process.
 type testGateway struct {
+	gateway   *gateway.Gateway
 	entry     *httptest.Server
 	log       *storelog.Memory
 	source    *configSource
@@ -136,6 +140,7 @@
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
 		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pool: forward.NewPool(), Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
+	gw.gateway = g
 	gw.entry = httptest.NewServer(g)
 	t.Cleanup(gw.entry.Close)
 	for config.Table() == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
+	"cowslipgw/internal/guard"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/turns"
@@ -76,9 +77,17 @@
 	defer g.active.Add(-1)
 	x := &exchange{g: g, w: w, start: time.Now()}
 	defer func() {
+		cause := recover()
+		if cause != nil && cause != http.ErrAbortHandler {
+			guard.Log(g.events, "request", cause)
+			x.status, x.reason = 0, guard.ErrPanic.Error()
+		}
 		x.callerLeft = r.Context().Err() != nil
 		x.recordCost()
 		x.logRequest()
+		if cause != nil {
+			panic(http.ErrAbortHandler)
+		}
 	}()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,12 +8,23 @@
 
 	"github.com/samber/oops"
 
+	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/replica"
 )
 
-// streamBuffer is the size of one read from a stream; an event has about 100 bytes.
-const streamBuffer = 4 << 10
+const (
+	// streamBuffer is the size of one read from a stream; an event has about 100 bytes.
+	streamBuffer = 4 << 10
+	// maxEvent is the maximum size of one event, in bytes.
+	maxEvent = 1 << 20
+)
+
+// errEventTooLong is returned if an event exceeds maxEvent.
+var errEventTooLong = errors.New("event is too long")
+
+// errReservationExceeded is returned if a stream has more tokens than the turn reserved.
+var errReservationExceeded = errors.New("stream exceeds the tokens reserved for it")
 
 // streamResult is what a stream delivered to the caller.
 type streamResult struct {
@@ -31,7 +42,7 @@
 	x.status = a.answer.Status
 	var s eventParser
 	for {
-		err := x.copyEvents(a, &s)
+		err := x.copyEvents(a, &s, t.maxEvents())
 		if errors.Is(err, errCallerLeft) {
 			a.end(replica.Abandoned, s.count)
 			t.close(streamResult{events: s.count})
@@ -49,7 +60,7 @@
 				continue
 			}
 		}
-		t.close(streamResult{events: s.count})
+		t.close(streamResult{events: min(s.count, t.maxEvents())})
 		x.abort("replica stream ended early")
 	}
 	if !t.complete(ctx, streamResult{output: s.data, events: s.count}) {
@@ -60,14 +71,19 @@
 // errCallerLeft is returned if the caller's connection cannot be written to.
 var errCallerLeft = errors.New("caller disconnected")
 
-// copyEvents forwards the complete events of one attempt. It returns nil if the stream ended
-// after a complete event.
-func (x *exchange) copyEvents(a *attempt, s *eventParser) error {
+// copyEvents forwards the complete events of one attempt, up to maxEvents in the whole stream.
+// It returns nil if the stream ended after a complete event.
+func (x *exchange) copyEvents(a *attempt, s *eventParser, maxEvents int) error {
 	flusher := http.NewResponseController(x.w)
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := a.answer.Read(buffer)
-		if complete := s.add(buffer[:n]); len(complete) > 0 {
+		complete := s.add(buffer[:n])
+		if s.count > maxEvents {
+			x.g.events.Log(event.ReservationExceeded, event.Fields{"request": x.call.ID, "replica": x.replica, "events": s.count})
+			return errReservationExceeded
+		}
+		if len(complete) > 0 {
 			_, writeErr := x.w.Write(complete)
 			if writeErr == nil {
 				writeErr = flusher.Flush()
@@ -77,6 +93,8 @@
 			}
 		}
 		switch {
+		case len(s.partial) > maxEvent:
+			return errEventTooLong
 		case err == nil:
 		case err == io.EOF && len(s.partial) == 0:
 			return nil
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -120,6 +121,15 @@
 	}
 }
 
+// maxEvents returns the number of events for which the turn has reserved tokens. Only turns
+// with a budget are limited.
+func (t *turn) maxEvents() int {
+	if t == nil || t.x.call.Budget == 0 || t.x.call.MaxTokens == 0 {
+		return math.MaxInt
+	}
+	return (t.x.call.MaxTokens + t.tokensPerEvent - 1) / t.tokensPerEvent
+}
+
 // movedTo records the replica at which the turn is resumed.
 func (t *turn) movedTo(replica string) {
 	if t != nil {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -1,6 +1,11 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/guard"
+)
 
 // ServiceName is the name under which Service is registered with net/rpc.
 const ServiceName = "Quota"
@@ -21,15 +26,22 @@
 }
 
 // Service handles the calls of other hosts.
-type Service struct{ limiter *Limiter }
+type Service struct {
+	limiter *Limiter
+	events  *event.Logger
+}
 
 // NewService returns the RPC service of limiter.
-func NewService(limiter *Limiter) *Service { return &Service{limiter: limiter} }
+func NewService(limiter *Limiter, events *event.Logger) *Service {
+	return &Service{limiter: limiter, events: events}
+}
 
 // Take calls Limiter.Take as the owner of the bucket.
 func (s *Service) Take(args TakeArgs, reply *TakeReply) error {
-	*reply = s.limiter.Take(args, true)
-	return nil
+	return guard.Call(s.events, ServiceName+".Take", func() error {
+		*reply = s.limiter.Take(args, true)
+		return nil
+	})
 }
 
 // GiveBackReply is the empty response to GiveBack, which cannot fail.
@@ -37,6 +49,8 @@
 
 // GiveBack calls Limiter.Refund as the owner of the bucket.
 func (s *Service) GiveBack(args TakeArgs, _ *GiveBackReply) error {
-	s.limiter.Refund(args, true)
-	return nil
+	return guard.Call(s.events, ServiceName+".GiveBack", func() error {
+		s.limiter.Refund(args, true)
+		return nil
+	})
 }
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -13,7 +13,11 @@
 }
 
 // Record returns the replica's current record.
-func (l *Lease) Record() Record { return l.replica.record }
+func (l *Lease) Record() Record {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	return l.replica.record
+}
 
 // Result is the outcome of an attempt.
 type Result uint8
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -185,7 +185,7 @@
 	p.pending = append(p.pending, c)
 	if !p.writing {
 		p.writing = true
-		go o.write(p)
+		go o.startWrite(p)
 	}
 }
 
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/guard"
 )
 
 // serveTimeout limits the processing of a call from another host, which waits slightly
@@ -14,38 +18,47 @@
 
 // Service handles the calls of other hosts.
 type Service struct {
-	owner *Owner
-	owns  func(partition int) bool
+	owner  *Owner
+	owns   func(partition int) bool
+	events *event.Logger
 }
 
 // NewService returns the RPC service of an owner. Owns reports whether this host is the
 // first candidate for a partition.
-func NewService(owner *Owner, owns func(partition int) bool) *Service {
-	return &Service{owner: owner, owns: owns}
+func NewService(owner *Owner, owns func(partition int) bool, events *event.Logger) *Service {
+	return &Service{owner: owner, owns: owns, events: events}
+}
+
+// call runs one call within limit. A panic in it ends only this call; net/rpc would let it end
+// the process.
+func (s *Service) call(method string, limit time.Duration, f func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return guard.Call(s.events, ServiceName+"."+method, func() error { return f(ctx) })
 }
 
 // Begin calls Owner.Begin.
 func (s *Service) Begin(args BeginArgs, reply *BeginReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
-	defer cancel()
-	*reply = s.owner.Begin(ctx, args)
-	return nil
+	return s.call("Begin", serveTimeout, func(ctx context.Context) error {
+		*reply = s.owner.Begin(ctx, args)
+		return nil
+	})
 }
 
 // End calls Owner.End.
 func (s *Service) End(args EndArgs, reply *EndReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
-	defer cancel()
-	reply.Kept = s.owner.End(ctx, args.Turn)
-	return nil
+	return s.call("End", serveTimeout, func(ctx context.Context) error {
+		reply.Kept = s.owner.End(ctx, args.Turn)
+		return nil
+	})
 }
 
 // Locate calls Owner.Locate.
 func (s *Service) Locate(args LocateArgs, reply *LocateReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
-	defer cancel()
-	*reply = s.owner.Locate(ctx, args, s.owns)
-	return nil
+	return s.call("Locate", locateTimeout, func(ctx context.Context) error {
+		*reply = s.owner.Locate(ctx, args, s.owns)
+		return nil
+	})
 }
 
 // errNotWriter is returned if a Release call names the writer ID of another owner.
@@ -53,10 +66,12 @@
 
 // Release calls Owner.Release.
 func (s *Service) Release(args ReleaseArgs, reply *ReleaseReply) error {
-	got, isWriter := s.owner.Release(args)
-	if !isWriter {
-		return errNotWriter
-	}
-	*reply = got
-	return nil
+	return s.call("Release", releaseTimeout, func(context.Context) error {
+		got, isWriter := s.owner.Release(args)
+		if !isWriter {
+			return errNotWriter
+		}
+		*reply = got
+		return nil
+	})
 }
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/guard"
 	"cowslipgw/internal/storelog"
 )
 
@@ -54,6 +55,19 @@
 	}
 }
 
+// startWrite runs write. After a panic, the next change starts another write.
+func (o *Owner) startWrite(p *partition) {
+	err := guard.Call(o.events, "turn writer", func() error {
+		o.write(p)
+		return nil
+	})
+	if err != nil {
+		p.mu.Lock()
+		p.writing = false
+		p.mu.Unlock()
+	}
+}
+
 // appendFailed records that appends to the partition fail, logs the first failure, and
 // sleeps. The delay doubles up to maxAppendBackoff.
 func (o *Owner) appendFailed(p *partition, err error, backoff *time.Duration) {
