Encode calls between hosts as CBOR and search for turns at owners only

Cause: net/rpc's gob sends and compiles the types of a call on each new connection, and nearly every call of a fleet of 295 hosts opens one.

A search asks the owners of the 64 partitions, which answer for all turns.

Ruled out: protocol buffers, which need a generator.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -234,7 +234,10 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen for peer calls")
 	}
-	go server.Accept(listener)
+	go func() {
+		// The listener is open until the process exits.
+		_ = peers.Serve(listener, server, p.events)
+	}()
 	return nil
 }
 
--- a/internal/peers/caller.go
+++ b/internal/peers/caller.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.client = rpc.NewClient(conn)
+	l.client = rpc.NewClientWithCodec(newCodec(conn))
 	return l.client, nil
 }
 
--- a/internal/peers/caller_test.go
+++ b/internal/peers/caller_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cowslipgw/internal/event"
 )
 
 // sleeper is an RPC service that answers after a delay.
@@ -32,7 +34,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go server.Accept(listener)
+	go func() { _ = Serve(listener, server, event.Discard()) }()
 	h := Host{ID: "1", Incarnation: 1, Addr: listener.Addr().String()}
 	table := NewTable(Host{ID: "0"}, func() bool { return true })
 	table.HandleHeartbeat(Heartbeat{Host: h, Condition: Condition{Serving: true}})
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"cowslipgw/internal/peers"
@@ -145,12 +147,12 @@
 	return nil
 }
 
-// locate asks all live hosts for a turn. The outcome is UnknownParent only if the hosts
-// that answered have the complete state of all partitions between them.
+// locate asks the owners of all partitions for a turn. The outcome is UnknownParent only if
+// the hosts that answered have the complete state of all partitions between them.
 func (c *Client) locate(ctx context.Context, args LocateArgs) LocateReply {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
-	hosts := c.hosts.Candidates(0, 1<<16)
+	hosts := c.owners()
 	replies := make(chan LocateReply, len(hosts))
 	for _, h := range hosts {
 		go func() {
@@ -176,6 +178,17 @@
 	return LocateReply{Outcome: UnknownParent}
 }
 
+// owners returns the owners of all partitions.
+func (c *Client) owners() []peers.Host {
+	byID := make(map[string]peers.Host)
+	for p := range Partitions {
+		for _, h := range c.hosts.Candidates(partitionKey(p), 1) {
+			byID[h.ID] = h
+		}
+	}
+	return slices.Collect(maps.Values(byID))
+}
+
 // Release implements Peers. It also calls hosts to which earlier calls failed.
 func (c *Client) Release(ctx context.Context, args ReleaseArgs) (ReleaseReply, Presence) {
 	for _, h := range append(c.hosts.Others(), c.hosts.Self()) {
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -30,7 +30,7 @@
 	Input  []byte `cbor:"7,keyasint,omitempty"`
 	Output []byte `cbor:"8,keyasint,omitempty"`
 	// Session names the sequence of turns within the program; records do not contain it.
-	Session string `cbor:"-"`
+	Session string `cbor:"15,keyasint,omitempty"`
 	// Replica is the replica that ran the turn and may have its prefix cached.
 	Replica string `cbor:"9,keyasint,omitempty"`
 	// Expiry is the Unix time in milliseconds until which the turn is retained at least.
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -90,6 +90,7 @@
 		g := p.programLocked(&c.turn)
 		c.preallocation = g.nextPreallocation()
 		t := c.turn
+		t.Session = ""
 		t.Writer, t.Preallocations, t.Forgiven = p.writer, g.preallocations(p.writer, c.preallocation), g.forgiven
 		value, err := cbor.Marshal(t)
 		if err != nil {
