Answer requests that have too little time left for an attempt

Cause: dispatch returned neither an attempt nor an error if less than 5 ms were left and the context had not ended, and the request panicked. The caller's connection closed without an answer, and the turn's reservation was never settled.

It is a missed deadline now: 503 "not run" if nothing was sent, 504 otherwise.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,9 +59,12 @@
 	last := errNoReplica
 	refusals := 0
 	for x.attempts < max(x.route.MaxAttempts, 1) && refusals <= maxExtraRefusals {
-		if ctx.Err() != nil || time.Until(x.deadline) < minAttemptTime {
+		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
+		if time.Until(x.deadline) < minAttemptTime {
+			return nil, context.DeadlineExceeded
+		}
 		lease := x.g.replicas.Choose(q)
 		if lease == nil {
 			return nil, last
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -135,10 +135,20 @@
 	is.Equal(runs.Load(), int64(0))
 }
 
+// waitIdle waits until no request and no settlement is in progress.
+func (gw *testGateway) waitIdle(t *testing.T) {
+	t.Helper()
+	const limit = 2 * time.Second
+	for start := time.Now(); gw.gateway.Active() != 0; time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > limit {
+			t.Fatalf("%d requests or settlements are still in progress after %v", gw.gateway.Active(), limit)
+		}
+	}
+}
+
 // TestCallerThatStopsReading guards against a caller that does not read its answer and thereby
 // holds a replica and memory.
 func TestCallerThatStopsReading(t *testing.T) {
-	is := is.New(t)
 	ended := make(chan struct{})
 	gw := newTestGateway(t, 0, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -158,11 +168,23 @@
 		t.Fatal("the replica still works for a caller that does not read")
 	}
 	// The handler must end as well.
-	for range 100 {
-		if gw.gateway.Active() == 0 {
-			return
-		}
-		time.Sleep(20 * time.Millisecond)
+	gw.waitIdle(t)
+}
+
+// TestDeadlineBeforeAttempt guards against a request without an answer because too little time
+// was left to send it to a replica.
+func TestDeadlineBeforeAttempt(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	gw := newTestGateway(t, 0, echoing(&runs))
+	for _, path := range []string{"/safe/1", "/unsafe/1", "/draft/1", "/chat/1"} {
+		// The body arrives when 4 of 50 ms are left.
+		c := gw.dialRaw(t, "POST "+path+" HTTP/1.1\r\nHost: h\r\nId: a\r\nKey: k\r\nPatience: 50\r\nContent-Length: 1\r\n\r\n")
+		time.Sleep(46 * time.Millisecond)
+		_, err := io.WriteString(c, "x")
+		is.NoErr(err)
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
 	}
-	is.Equal(gw.gateway.Active(), int64(0))
+	gw.waitIdle(t)
 }
