Let a turn wait for settlements that make room in the budget

Cause: on routes that store no turns the settlement follows the answer without waiting, so a program's next turn could reach the owner first, find the last one's whole reservation, and be told 402 for good.

--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -17,6 +17,11 @@
 	// an exhausted budget without another read. Programs that never end ask several times a
 	// second.
 	exhaustedAge = 300 * time.Millisecond
+	// settlementWait is how long a turn waits for the settlement of others that may make room
+	// in the budget: a program's next turn may arrive before the settlement of its last one.
+	settlementWait = 150 * time.Millisecond
+	// settlementPoll is the interval at which such a turn is decided anew.
+	settlementPoll = 5 * time.Millisecond
 )
 
 // Peers are the owners at other hosts.
@@ -69,6 +74,10 @@
 	if reply.Outcome == Exhausted && o.release(ctx, p, args) {
 		reply, c = o.decide(p, args)
 	}
+	for waited := time.Duration(0); reply.Outcome == Exhausted && waited < settlementWait && p.awaitsSettlement(args); waited += settlementPoll {
+		time.Sleep(settlementPoll)
+		reply, c = o.decide(p, args)
+	}
 	if p.shouldRelease(args) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
@@ -92,6 +101,29 @@
 	return reply
 }
 
+// awaitsSettlement reports whether the turn would fit in the budget if the open turns of the
+// program had generated nothing.
+func (p *partition) awaitsSettlement(args BeginArgs) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.programs[programKey{args.Account, args.Program}]
+	if g == nil {
+		return false
+	}
+	open := 0
+	for id := range g.turns {
+		if t := p.turns[id]; t.State == Open && id != args.Turn {
+			open += t.Tokens
+		}
+	}
+	for id, tokens := range g.unrecorded {
+		if p.turns[id] == nil && id != args.Turn {
+			open += tokens
+		}
+	}
+	return open > 0 && g.used()-open+args.MaxTokens <= args.Budget
+}
+
 // withdraw drops a reservation that was not stored in time. It reports false if the store
 // may have it.
 func (p *partition) withdraw(c *change) bool {
