peers: one file for each concern of the membership

Announcements, hellos, incoming messages and the judgement of watched hosts have files of their own, and the long judgement is split into steps. A method that only tests used is in a test file.

--- a/internal/peers/member.go
+++ b/internal/peers/member.go
@@ -53,6 +53,10 @@
 	return m.unreachable || len(m.reports) >= downReports
 }
 
+// isJudged reports whether this host observes the member itself: it watches it, or it must still
+// report its return.
+func (m *member) isJudged() bool { return m.watchedSince != 0 || m.reported }
+
 // alive reports whether the host has been heard of, and is neither down nor suspect.
 func (m *member) alive() bool { return m.lastHeartbeat != 0 && !m.suspect && !m.down() }
 
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -116,13 +116,6 @@
 	}
 }
 
-// HandleHeartbeat updates the table with a heartbeat. It returns false and ignores the
-// heartbeat if it is from this host or from an earlier incarnation.
-func (t *Table) HandleHeartbeat(b Heartbeat) bool {
-	_, ok := t.handleHeartbeat(b)
-	return ok
-}
-
 // Suspect marks a host as suspect after a call to it failed.
 func (t *Table) Suspect(id string) {
 	t.mu.Lock()
