Search only new bytes of a stream for the end of an event

Cause: the parser searched the whole unfinished event again after each read, so that an event of 1 MiB cost 128 MiB of comparisons.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -26,11 +26,14 @@
 // add appends bytes of the stream and returns the complete events in them, except those that a
 // resumed stream repeats.
 func (s *eventParser) add(p []byte) []byte {
+	// The end of an event may straddle the bytes that are already there, none of which ends one.
+	searched := max(len(s.partial)-1, 0)
 	s.partial = append(s.partial, p...)
-	end := bytes.LastIndex(s.partial, []byte("\n\n"))
+	end := bytes.LastIndex(s.partial[searched:], []byte("\n\n"))
 	if end < 0 {
 		return nil
 	}
+	end += searched
 	complete := s.partial[:end+2]
 	s.partial = append([]byte(nil), s.partial[end+2:]...)
 	var kept []byte
