peers: decide in one place whether a member counts as alive

Four places combined a member's own state with the isolation of this host by hand; aliveLocked does so for all. The simulations repeated the check that no host is falsely dead or alive six times; requireAgreement makes both assertions. No change of behaviour.

--- a/internal/peers/membership_test.go
+++ b/internal/peers/membership_test.go
@@ -173,6 +173,14 @@
 	return falselyDead, falselyAlive
 }
 
+// requireAgreement requires that each running host considers just those alive that it can reach.
+func (f *simulatedFleet) requireAgreement(is *is.I) {
+	is.Helper()
+	falselyDead, falselyAlive := f.disagreements()
+	is.Equal(falselyDead, 0)
+	is.Equal(falselyAlive, 0)
+}
+
 // detect runs until each running host considers host j dead, and returns the times that they
 // needed, sorted.
 func (f *simulatedFleet) detect(j int, limit time.Duration) []time.Duration {
@@ -246,9 +254,7 @@
 				is.True(!f.considers(i, 0))
 			}
 			f.run(f.hosts[0].pausedUntil.Sub(f.now) + 2*time.Second)
-			dead, alive := f.disagreements()
-			is.Equal(dead, 0)
-			is.Equal(alive, 0)
+			f.requireAgreement(is)
 		}
 	}
 }
@@ -263,16 +269,12 @@
 			f.hosts[i].group = 1
 		}
 		f.run(4 * time.Second)
-		dead, alive := f.disagreements()
-		is.Equal(dead, 0)
-		is.Equal(alive, 0)
+		f.requireAgreement(is)
 		for _, h := range f.hosts {
 			h.group = 0
 		}
 		f.run(4 * time.Second)
-		dead, alive = f.disagreements()
-		is.Equal(dead, 0)
-		is.Equal(alive, 0)
+		f.requireAgreement(is)
 	}
 }
 
@@ -286,16 +288,12 @@
 			f.hosts[i*3].down = true
 		}
 		f.run(4 * time.Second)
-		dead, alive := f.disagreements()
-		is.Equal(dead, 0)
-		is.Equal(alive, 0)
+		f.requireAgreement(is)
 		for i := range n / 3 {
 			f.restart(i * 3)
 		}
 		f.run(3 * time.Second)
-		dead, alive = f.disagreements()
-		is.Equal(dead, 0)
-		is.Equal(alive, 0)
+		f.requireAgreement(is)
 	}
 }
 
@@ -317,8 +315,6 @@
 			f.run(100 * time.Millisecond)
 		}
 		f.run(3 * time.Second)
-		dead, alive := f.disagreements()
-		is.Equal(dead, 0)
-		is.Equal(alive, 0)
+		f.requireAgreement(is)
 	}
 }
--- a/internal/peers/serving.go
+++ b/internal/peers/serving.go
@@ -27,7 +27,7 @@
 		normal, overloaded = appendHost(normal, overloaded, t.self, own.Overloaded)
 	}
 	for _, m := range t.members {
-		if m.Serving && !m.Leaving && m.alive() && !t.isolated {
+		if m.Serving && !m.Leaving && t.aliveLocked(m) {
 			normal, overloaded = appendHost(normal, overloaded, m.host, m.Overloaded)
 		}
 	}
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -135,6 +135,9 @@
 	return hosts
 }
 
+// aliveLocked reports whether a member counts as alive; none does while this host is isolated.
+func (t *Table) aliveLocked(m *member) bool { return !t.isolated && m.alive() }
+
 // Counts returns the number of known hosts and of live hosts, including this one.
 func (t *Table) Counts() (known, alive int) {
 	t.mu.Lock()
@@ -147,7 +150,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range t.members {
-		if m.alive() && !t.isolated && !m.StoreLost {
+		if t.aliveLocked(m) && !m.StoreLost {
 			return true
 		}
 	}
--- a/internal/peers/view.go
+++ b/internal/peers/view.go
@@ -65,11 +65,9 @@
 		v.hosts = append(v.hosts, ratedHost{host: h, hash: hash, rank: c.rank(partialOutage), storelessRank: c.rank(false)})
 	}
 	add(t.self, xxhash.Sum64String(t.self.ID), own)
-	if !t.isolated {
-		for _, m := range t.members {
-			if m.alive() {
-				add(m.host, m.position, m.Condition)
-			}
+	for _, m := range t.members {
+		if t.aliveLocked(m) {
+			add(m.host, m.position, m.Condition)
 		}
 	}
 	t.view = v
@@ -85,7 +83,7 @@
 		reachable = 1
 	}
 	for _, m := range t.members {
-		if m.alive() && !t.isolated {
+		if t.aliveLocked(m) {
 			alive++
 			if !m.StoreLost {
 				reachable++
