Log when a replica changes the rate of requests that it accepts

Nothing told whether a replica named a limit, or what the hosts together sent it. The adapter decodes the limit, the set of replicas keeps the last one, and event 1744 says when a host learns of it, of a changed one and of its end, with what the host sent meanwhile; a counter adds up requests to limited replicas. Decisions are unchanged.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -26,5 +26,6 @@
 	TurnStoreFailed      = define(1735, logrus.ErrorLevel, "turn could not be stored")
 	SettingsReloaded     = define(1740, logrus.InfoLevel, "settings file was reloaded")
 	SettingsInvalid      = define(1741, logrus.ErrorLevel, "settings file is invalid and was ignored")
+	ReplicaLimitChanged  = define(1744, logrus.InfoLevel, "replica changed the rate of requests that it accepts")
 	ReplicaEjected       = define(1743, logrus.WarnLevel, "replica was temporarily ejected from load balancing")
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,6 +131,10 @@
 	if info.Load != nil {
 		lease.Load(*info.Load)
 	}
+	// Answers without a signature may come from something other than the replica.
+	if info.RateLimit != nil && (info.RateLimit.Limited || info.Signed) {
+		lease.RateLimit(*info.RateLimit)
+	}
 	a := &attempt{lease: lease, answer: answer, info: info, cancel: func() { cancel(nil) }}
 	if info.NotExecuted || answer.Status == http.StatusMisdirectedRequest {
 		drain(answer)
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -30,6 +30,8 @@
 	NotExecuted bool
 	// Load is nil if the replica did not report it.
 	Load *replica.Load
+	// RateLimit is nil if the answer does not say whether the replica has one.
+	RateLimit *replica.RateLimit
 }
 
 // Codec translates between the wire format and the gateway's types.
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -84,6 +84,7 @@
 	}
 	lease := &Lease{set: s, replica: best, class: q.Class, start: now}
 	best.inflight++
+	best.countLimited()
 	best.awaitingFirstByte[lease] = struct{}{}
 	return lease
 }
--- /dev/null
+++ b/internal/replica/ratelimit.go
@@ -0,0 +1,78 @@
+package replica
+
+import (
+	"math"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowslipgw/internal/event"
+)
+
+// RateLimit is the rate of requests that a replica accepts from all hosts together, as it
+// reports it with its answers.
+type RateLimit struct {
+	Limited bool
+	// PerSecond is the number of requests per second if Limited is set.
+	PerSecond float64
+}
+
+var limitedRequests = metrics.NewCounter("cowslipgw_replica_limited_requests_total")
+
+// loggedRateChange is the relative change of a limit from which on it is logged.
+const loggedRateChange = 0.1
+
+// limitState is the rate limit that this host knows of a replica.
+type limitState struct {
+	RateLimit
+	// learnedAt is when the limit was last confirmed.
+	learnedAt time.Time
+	// since is when the limit came into force, sent the number of this host's attempts since
+	// then, and logged the rate that was last logged.
+	since  time.Time
+	sent   int
+	logged float64
+}
+
+// RateLimit records the rate limit that an answer reports. Answers overtake each other: one to
+// a request that was sent before the limit was reported does not lift it.
+func (l *Lease) RateLimit(limit RateLimit) {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	if !limit.Limited && l.start.Before(l.replica.limit.learnedAt) {
+		return
+	}
+	l.set.setLimitLocked(l.replica, limit, time.Now())
+}
+
+// setLimitLocked updates the limit of a replica and logs significant changes.
+func (s *Set) setLimitLocked(r *Replica, limit RateLimit, now time.Time) {
+	old := r.limit
+	switch {
+	case !limit.Limited && !old.Limited:
+		return
+	case !limit.Limited:
+		r.limit = limitState{}
+	case !old.Limited:
+		r.limit = limitState{RateLimit: limit, learnedAt: now, since: now, logged: limit.PerSecond}
+	default:
+		r.limit.RateLimit, r.limit.learnedAt = limit, now
+		if math.Abs(limit.PerSecond-old.logged) <= loggedRateChange*old.logged {
+			return
+		}
+		r.limit.logged = limit.PerSecond
+	}
+	fields := event.Fields{"replica": r.record.ID, "service": r.record.Service, "limited": limit.Limited, "per_second": limit.PerSecond}
+	if old.Limited {
+		fields["limited_ms"], fields["sent"] = now.Sub(old.since).Milliseconds(), old.sent
+	}
+	s.events.Log(event.ReplicaLimitChanged, fields)
+}
+
+// countLimited counts an attempt at a replica with a rate limit.
+func (r *Replica) countLimited() {
+	if r.limit.Limited {
+		r.limit.sent++
+		limitedRequests.Inc()
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -50,6 +50,7 @@
 	// probing is set after the replica seemed to be down, until it answers a request.
 	// Meanwhile it gets one request at a time.
 	probing bool
+	limit   limitState
 	// removeAt is the time at which a replica without a record is removed; it is zero while
 	// the replica has one.
 	removeAt time.Time
