--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -44,7 +44,12 @@
 }
 
 func (codec) Answer(h http.Header) gateway.AnswerInfo {
-	return gateway.AnswerInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Run") != ""}
+	info := gateway.AnswerInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Run") != "",
+		RateLimit: &replica.RateLimit{}}
+	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		info.RateLimit = &replica.RateLimit{Limited: true, PerSecond: perSecond}
+	}
+	return info
 }
 
 // configSource is a gateway.ConfigSource that fails while down is set.
@@ -98,6 +103,11 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
+	gw.addReplica(id, server)
+}
+
+// addReplica registers a running upstream as a replica of service s.
+func (gw *testGateway) addReplica(id string, server *httptest.Server) {
 	gw.upstreams = append(gw.upstreams, server)
 	gw.replicas.Put(replica.Record{ID: id, Service: "s", Addr: strings.TrimPrefix(server.URL, "http://"), Domain: "z", Slots: 8})
 }
@@ -148,3 +158,17 @@
 	}
 	return gw
 }
+
+// newTestFleet returns the gateways of several hosts over one store with the same upstreams.
+func newTestFleet(t *testing.T, hosts int, upstreams ...http.HandlerFunc) []*testGateway {
+	t.Helper()
+	fleet := []*testGateway{newTestGateway(t, time.Minute, upstreams...)}
+	for range hosts - 1 {
+		gw := newTestGatewayOver(t, fleet[0].log, time.Minute)
+		for n, server := range fleet[0].upstreams {
+			gw.addReplica("r"+strconv.Itoa(n), server)
+		}
+		fleet = append(fleet, gw)
+	}
+	return fleet
+}
