Keep all hosts together within the rate that a replica accepts

Cause: no host read the limit, and none could have kept it by itself: each sent less than the limit, ten together far more. The class of fault: something that belongs to the whole fleet is known to one host only.

A host at a time, the replica's owner by rendezvous hashing, now assigns send times at even distances (internal/pacing, one call before a request to a limited replica, none otherwise). Nothing is stored, so the store's state does not matter. A new owner starts without a burst, so that a rolling restart adds at most one request a change; a host that cannot reach the owner uses half of its share of the rate; a part of the fleet that hears less than half of it uses its part. A replica at its limit is passed over until its next time. If all are, requests of running programs wait for up to 0.3 s, and what cannot be sent is refused at once with the time at which the replica takes a request.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -20,6 +20,7 @@
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/gateway"
+	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
@@ -72,6 +73,7 @@
 	owner     *turns.Owner
 	client    *turns.Client
 	limiter   *quota.Limiter
+	pacer     *pacing.Pacer
 	config    *gateway.ConfigWatcher
 	discovery *gateway.Discovery
 	pool      *forward.Pool
@@ -99,6 +101,7 @@
 	limiter := quota.NewLimiter(quota.Bound{Window: s.RateWindow, Excess: s.RateExcess, Slack: s.RateSlack}, p.table.Counts)
 	peerCaller := peers.NewCaller(p.table)
 	p.limiter = limiter
+	p.pacer = pacing.NewPacer(p.table.Counts)
 	p.client = turns.NewClient(p.table, peerCaller)
 	p.owner = turns.NewOwner(p.table.Self(), store, p.client, s.StorePartitions, events)
 	p.client.SetOwner(p.owner)
@@ -116,7 +119,7 @@
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
 	p.pool = forward.NewPool()
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Replicas: replicas, Pool: p.pool, Turns: p.client, Events: events,
+		Replicas: replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Pool: p.pool, Turns: p.client, Events: events,
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
 }
@@ -230,6 +233,9 @@
 	if err := server.RegisterName(quota.ServiceName, quota.NewService(p.limiter, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
+	if err := server.RegisterName(pacing.ServiceName, pacing.NewService(p.pacer, p.events)); err != nil {
+		return oops.Wrapf(err, "register RPC service")
+	}
 	listener, err := net.Listen("tcp", p.table.Self().Addr)
 	if err != nil {
 		return oops.Wrapf(err, "listen for peer calls")
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -27,5 +27,6 @@
 	SettingsReloaded     = define(1740, logrus.InfoLevel, "settings file was reloaded")
 	SettingsInvalid      = define(1741, logrus.ErrorLevel, "settings file is invalid and was ignored")
 	ReplicaLimitChanged  = define(1744, logrus.InfoLevel, "replica changed the rate of requests that it accepts")
+	ReplicaAtLimit       = define(1745, logrus.InfoLevel, "replica accepts no more requests at present")
 	ReplicaEjected       = define(1743, logrus.WarnLevel, "replica was temporarily ejected from load balancing")
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,9 +65,12 @@
 		if time.Until(x.deadline) < minAttemptTime {
 			return nil, context.DeadlineExceeded
 		}
-		lease := x.g.replicas.Choose(q)
-		if lease == nil {
-			return nil, last
+		lease, err := x.acquire(ctx, q)
+		if err != nil {
+			if errors.Is(err, errNoReplica) {
+				err = last
+			}
+			return nil, err
 		}
 		x.replica = lease.Record().ID
 		x.tried[x.replica] = true
@@ -155,7 +158,7 @@
 func (x *exchange) fail(ctx context.Context, err error) {
 	switch {
 	case !x.mayHaveRun:
-		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: failureReason(err), retryAfter: retrySoon})
+		x.refuse(refusal{status: http.StatusServiceUnavailable, reason: failureReason(err), retryAfter: retryAfter(err)})
 	case ctx.Err() != nil || time.Until(x.deadline) < minAttemptTime:
 		x.refuse(refusal{status: http.StatusGatewayTimeout, reason: "no answer of the replica in time"})
 	default:
@@ -163,7 +166,20 @@
 	}
 }
 
+// retryAfter returns when a request that failed with err without being sent may come again.
+func retryAfter(err error) time.Duration {
+	var limited limitedError
+	if errors.As(err, &limited) {
+		return max(limited.retryAfter, retrySoon)
+	}
+	return retrySoon
+}
+
 func failureReason(err error) string {
+	var limited limitedError
+	if errors.As(err, &limited) {
+		return limited.Error()
+	}
 	for _, known := range []error{errNoReplica, errRefused, errFirstByteTimeout, forward.ErrUnreachable, forward.ErrBroken,
 		forward.ErrInvalidAnswer, context.DeadlineExceeded, context.Canceled} {
 		if errors.Is(err, known) {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -13,6 +13,7 @@
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/gateway"
+	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
@@ -121,6 +122,12 @@
 
 // newTestGatewayOver returns a gateway of another host over the same store.
 func newTestGatewayOver(t *testing.T, log *storelog.Memory, freshness time.Duration, upstreams ...http.HandlerFunc) *testGateway {
+	t.Helper()
+	return newTestGatewayIn(t, &testFleet{}, log, freshness, upstreams...)
+}
+
+// newTestGatewayIn returns a gateway of a further host of a fleet.
+func newTestGatewayIn(t *testing.T, fleet *testFleet, log *storelog.Memory, freshness time.Duration, upstreams ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	events := event.Discard()
 	share := []route.TrafficShare{{Service: "s", Weight: 1}}
@@ -148,7 +155,7 @@
 	client := turns.NewClient(singleHost{}, nil)
 	client.SetOwner(turns.NewOwner(peers.Host{ID: "self", Incarnation: incarnations.Add(1)}, gw.log, singleHost{}, 8, events))
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
-		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pool: forward.NewPool(), Turns: client, Events: events,
+		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: fleet.join(), Pool: forward.NewPool(), Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway = g
 	gw.entry = httptest.NewServer(g)
@@ -159,16 +166,53 @@
 	return gw
 }
 
+// testFleet is a fleet whose hosts call each other without a network.
+type testFleet struct {
+	hosts  []peers.Host
+	pacers map[string]*pacing.Pacer
+}
+
+// join adds a host and returns its client of the replicas' owners.
+func (f *testFleet) join() *pacing.Client {
+	host := peers.Host{ID: "host-" + strconv.Itoa(len(f.hosts))}
+	pacer := pacing.NewPacer(func() (known, alive int) { return len(f.hosts), len(f.hosts) })
+	if f.pacers == nil {
+		f.pacers = make(map[string]*pacing.Pacer)
+	}
+	f.hosts, f.pacers[host.ID] = append(f.hosts, host), pacer
+	return pacing.NewClient(fleetHost{singleHost{}, f, host}, f, pacer)
+}
+
+// Call implements peers.Calls.
+func (f *testFleet) Call(_ context.Context, h peers.Host, _ string, args, reply any) error {
+	*reply.(*pacing.ReserveReply) = f.pacers[h.ID].Reserve(args.(pacing.ReserveArgs))
+	return nil
+}
+
+// fleetHost is the view of one host of a fleet.
+type fleetHost struct {
+	singleHost
+	fleet *testFleet
+	self  peers.Host
+}
+
+func (h fleetHost) Self() peers.Host { return h.self }
+func (h fleetHost) StorelessCandidates(key uint64, _ int) []peers.Host {
+	return []peers.Host{h.fleet.hosts[key%uint64(len(h.fleet.hosts))]}
+}
+
 // newTestFleet returns the gateways of several hosts over one store with the same upstreams.
 func newTestFleet(t *testing.T, hosts int, upstreams ...http.HandlerFunc) []*testGateway {
 	t.Helper()
-	fleet := []*testGateway{newTestGateway(t, time.Minute, upstreams...)}
+	fleet := &testFleet{}
+	log := storelog.NewMemory()
+	gateways := []*testGateway{newTestGatewayIn(t, fleet, log, time.Minute, upstreams...)}
 	for range hosts - 1 {
-		gw := newTestGatewayOver(t, fleet[0].log, time.Minute)
-		for n, server := range fleet[0].upstreams {
+		gw := newTestGatewayIn(t, fleet, log, time.Minute)
+		for n, server := range gateways[0].upstreams {
 			gw.addReplica("r"+strconv.Itoa(n), server)
 		}
-		fleet = append(fleet, gw)
+		gateways = append(gateways, gw)
 	}
-	return fleet
+	return gateways
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/guard"
+	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/turns"
@@ -29,6 +30,7 @@
 	quota    *quota.Client
 	costs    *quota.CostEstimator
 	replicas *replica.Set
+	pacing   *pacing.Client
 	pool     *forward.Pool
 	turns    Turns
 	events   *event.Logger
@@ -48,6 +50,7 @@
 	Quota    *quota.Client
 	Costs    *quota.CostEstimator
 	Replicas *replica.Set
+	Pacing   *pacing.Client
 	Pool     *forward.Pool
 	Turns    Turns
 	Events   *event.Logger
@@ -57,7 +60,7 @@
 
 // New returns a gateway that uses the given dependencies.
 func New(deps Dependencies) *Gateway {
-	return &Gateway{codec: deps.Codec, config: deps.Config, quota: deps.Quota, costs: deps.Costs, replicas: deps.Replicas,
+	return &Gateway{codec: deps.Codec, config: deps.Config, quota: deps.Quota, costs: deps.Costs, replicas: deps.Replicas, pacing: deps.Pacing,
 		pool: deps.Pool, turns: deps.Turns, events: deps.Events,
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -44,8 +44,8 @@
 	x.after = after
 	previous := x.replica
 	q.Only = previous
-	lease := x.g.replicas.Choose(q)
-	if lease == nil {
+	lease, err := x.acquire(ctx, q)
+	if err != nil {
 		return nil, errNotResumable
 	}
 	a, err := x.try(ctx, lease, body)
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -51,6 +51,9 @@
 	Only string
 	// Exclude holds the IDs of replicas that were already tried.
 	Exclude map[string]bool
+	// Paused selects among the replicas that accept no request for some time, instead of the
+	// others: the one that accepts one first.
+	Paused bool
 }
 
 // Choose returns a lease on the replica with the lowest score, or nil if none is
@@ -62,10 +65,13 @@
 	var best, fallback *Replica
 	bestScore, fallbackScore := 0.0, 0.0
 	for _, r := range s.services[q.Service] {
-		if !s.feasible(r, q, now) {
+		if !s.feasible(r, q, now) || q.Paused != r.limit.pausedUntil.After(now) {
 			continue
 		}
 		score := s.score(r, q, now)
+		if q.Paused {
+			score = r.limit.pausedUntil.Sub(now).Seconds()
+		}
 		if r.ejected(now) {
 			if fallback == nil || score < fallbackScore {
 				fallback, fallbackScore = r, score
@@ -84,7 +90,6 @@
 	}
 	lease := &Lease{set: s, replica: best, class: q.Class, start: now}
 	best.inflight++
-	best.countLimited()
 	best.awaitingFirstByte[lease] = struct{}{}
 	return lease
 }
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -34,6 +34,8 @@
 	Reset
 	// Unreachable means that no connection could be opened.
 	Unreachable
+	// NotSent means that the attempt was not begun.
+	NotSent
 	// Abandoned means that the caller disconnected or the deadline passed, which may not
 	// be the replica's fault.
 	Abandoned
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -32,6 +32,8 @@
 	since  time.Time
 	sent   int
 	logged float64
+	// pausedUntil is when the replica accepts the next request.
+	pausedUntil time.Time
 }
 
 // RateLimit records the rate limit that an answer reports. Answers overtake each other: one to
@@ -69,10 +71,40 @@
 	s.events.Log(event.ReplicaLimitChanged, fields)
 }
 
-// countLimited counts an attempt at a replica with a rate limit.
-func (r *Replica) countLimited() {
-	if r.limit.Limited {
-		r.limit.sent++
+// Limit returns the replica's rate limit and the time since it was confirmed.
+func (l *Lease) Limit() (limit RateLimit, age time.Duration) {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	return l.replica.limit.RateLimit, time.Since(l.replica.limit.learnedAt)
+}
+
+// LearnLimit records the rate that a replica accepts as another host learned it, unless this
+// host knows a later one or that there is none. Age is the time since then.
+func (l *Lease) LearnLimit(perSecond float64, age time.Duration) {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	learned := time.Now().Add(-age)
+	if limit := &l.replica.limit; limit.Limited && learned.After(limit.learnedAt) {
+		limit.PerSecond, limit.learnedAt = perSecond, learned
+	}
+}
+
+// Delay sets the attempt's start to a later time, at which the replica accepts it.
+func (l *Lease) Delay(wait time.Duration) {
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	l.start = time.Now().Add(wait)
+	if l.replica.limit.Limited {
+		l.replica.limit.sent++
 		limitedRequests.Inc()
 	}
 }
+
+// Pause ends the lease without an attempt. The replica is not chosen before it accepts the next
+// request.
+func (l *Lease) Pause(wait time.Duration) {
+	l.Done(NotSent, 1)
+	l.set.mu.Lock()
+	defer l.set.mu.Unlock()
+	l.replica.limit.pausedUntil = time.Now().Add(wait)
+}
