Tell all hosts of a replica's rate limit at once

A host that had not had an answer of a limited replica yet did not know of the limit and sent it requests outside of the schedule: with hundreds of hosts, most of what the replica gets in the first seconds. The host that learns of a limit first sends it to all others, once. Hosts of older builds ignore the field.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -107,13 +107,19 @@
 	p.client.SetOwner(p.owner)
 	var err error
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
+	replicas := replica.NewSet(s.Domain, events)
 	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, func(b peers.Heartbeat) {
 		limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
+		for _, limit := range b.Limits {
+			replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
+		}
 	}, events)
 	if err != nil {
 		return nil, err
 	}
-	replicas := replica.NewSet(s.Domain, events)
+	replicas.OnLimit(func(r replica.Record, perSecond float64) {
+		p.beacon.AnnounceLimit(peers.ReplicaLimit{Replica: r.ID, Incarnation: r.Born, PerSecond: perSecond})
+	})
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
 		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
--- a/internal/pacing/pacer.go
+++ b/internal/pacing/pacer.go
@@ -22,6 +22,8 @@
 	// minPerSecond replaces lower rates, so that a replica which accepts almost nothing is
 	// asked again from time to time.
 	minPerSecond = 0.05
+	// maxPerSecond replaces higher rates, whose requests would be less than a microsecond apart.
+	maxPerSecond = 1e6
 )
 
 // paced is what a host knows of one replica.
@@ -100,7 +102,11 @@
 		p.replicas[args.Replica] = r
 	}
 	if learned := now.Add(-max(args.Age, 0)); learned >= r.learnedAt {
-		r.perSecond, r.learnedAt = max(args.PerSecond, minPerSecond), learned
+		r.perSecond, r.learnedAt = minPerSecond, learned
+		// The comparison is false for NaN, too.
+		if args.PerSecond > minPerSecond {
+			r.perSecond = min(args.PerSecond, maxPerSecond)
+		}
 	}
 	return r
 }
--- a/internal/peers/announce.go
+++ b/internal/peers/announce.go
@@ -28,6 +28,16 @@
 	return Datagram{t.allLocked(), t.messageLocked(condition)}
 }
 
+// limitMessage returns a message for all other hosts with the limit of a replica.
+func (t *Table) limitMessage(limit ReplicaLimit) Datagram {
+	condition := t.condition()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	message := t.messageLocked(condition)
+	message.Limits = []ReplicaLimit{limit}
+	return Datagram{t.allLocked(), message}
+}
+
 // isAnnouncementDueLocked reports whether this host must send its condition to all others:
 // after a change, once more a little later, and from time to time.
 func (t *Table) isAnnouncementDueLocked(now boottime.Instant, condition Condition) bool {
--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -20,7 +20,7 @@
 	table *Table
 	conn  *net.UDPConn
 	// usage returns the usage of client accounts to send, by the ID of the host that needs
-	// it; received is called with the messages of other hosts.
+	// it; received is called with the messages of other hosts that contain usage or limits.
 	usage    func() map[string]map[uint32]Usage
 	received func(Heartbeat)
 	events   *event.Logger
@@ -63,6 +63,9 @@
 // Announce sends this host's condition to all other hosts.
 func (b *Beacon) Announce() { b.send(b.table.Announce()) }
 
+// AnnounceLimit sends the limit of a replica to all other hosts.
+func (b *Beacon) AnnounceLimit(limit ReplicaLimit) { b.send(b.table.limitMessage(limit)) }
+
 func (b *Beacon) send(d Datagram) {
 	if len(d.To) == 0 {
 		return
@@ -104,7 +107,7 @@
 	if reply != nil {
 		b.send(*reply)
 	}
-	if ok && len(beat.Usage) > 0 {
+	if ok && len(beat.Usage)+len(beat.Limits) > 0 {
 		b.received(beat)
 	}
 }
--- a/internal/peers/beacon_test.go
+++ b/internal/peers/beacon_test.go
@@ -54,3 +54,24 @@
 	}
 	is.True(time.Since(start) < heartbeatInterval)
 }
+
+// TestLimitReachesOtherHosts guards against hosts that learn of a replica's limit only from
+// answers of their own: in a large fleet each would send at least one request more.
+func TestLimitReachesOtherHosts(t *testing.T) {
+	is := is.New(t)
+	newBeacon := func(id string, received func(Heartbeat)) (*Beacon, Host) {
+		table := NewTable(Host{ID: id, Incarnation: 1, Addr: "127.0.0.1:0"}, func() bool { return true })
+		beacon, err := NewBeacon(table, func() map[string]map[uint32]Usage { return nil }, received, event.Discard())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = beacon.Close() })
+		return beacon, Host{ID: id, Incarnation: 1, Addr: beacon.conn.LocalAddr().String()}
+	}
+	limits := make(chan ReplicaLimit, 1)
+	sender, _ := newBeacon("a", func(Heartbeat) {})
+	receiver, host := newBeacon("b", func(b Heartbeat) { limits <- b.Limits[0] })
+	sender.table.HandleHeartbeat(Heartbeat{Host: host})
+	go receiver.Receive()
+	limit := ReplicaLimit{Replica: "r", Incarnation: 7, PerSecond: 12.5}
+	sender.AnnounceLimit(limit)
+	is.Equal(<-limits, limit)
+}
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -41,10 +41,31 @@
 func (l *Lease) RateLimit(limit RateLimit) {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
-	if !limit.Limited && l.start.Before(l.replica.limit.learnedAt) {
+	r := l.replica
+	if !limit.Limited && l.start.Before(r.limit.learnedAt) {
 		return
 	}
-	l.set.setLimitLocked(l.replica, limit, time.Now())
+	isNew := limit.Limited && !r.limit.Limited
+	l.set.setLimitLocked(r, limit, time.Now())
+	if isNew && l.set.onLimit != nil {
+		go l.set.onLimit(r.record, limit.PerSecond)
+	}
+}
+
+// OnLimit sets the function that is called when an answer is the first to report that a replica
+// has a rate limit. It must be set before the set is used.
+func (s *Set) OnLimit(f func(record Record, perSecond float64)) { s.onLimit = f }
+
+// LearnLimit records the rate limit of one incarnation of a replica that another host reports,
+// unless the limit is known already.
+func (s *Set) LearnLimit(id string, incarnation int64, perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.byID[id]
+	if r == nil || r.record.Born != incarnation || r.limit.Limited || !(perSecond >= 0) || math.IsInf(perSecond, 1) {
+		return
+	}
+	s.setLimitLocked(r, RateLimit{Limited: true, PerSecond: perSecond}, time.Now())
 }
 
 // setLimitLocked updates the limit of a replica and logs significant changes.
--- a/internal/replica/ratelimit_test.go
+++ b/internal/replica/ratelimit_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,37 @@
 	s.Put(record)
 	is.Equal(s.rateLimit("0"), RateLimit{})
 }
+
+// TestLimitIsAnnouncedOnce guards against a limit that stays with the host that learned of it,
+// and against messages with each answer or each message of another host.
+func TestLimitIsAnnouncedOnce(t *testing.T) {
+	is := is.New(t)
+	s, other := newTestSet(2), newTestSet(2)
+	announced := make(chan float64, 10)
+	s.OnLimit(func(r Record, perSecond float64) {
+		other.LearnLimit(r.ID, r.Born, perSecond)
+		announced <- perSecond
+	})
+	other.OnLimit(func(Record, float64) { t.Error("a limit that another host announced is announced again") })
+	limit := RateLimit{Limited: true, PerSecond: 10}
+	lease := s.Choose(Query{Service: "s", Only: "0"})
+	lease.RateLimit(limit)
+	is.Equal(<-announced, 10.0)
+	lease.RateLimit(RateLimit{Limited: true, PerSecond: 5})
+	other.Choose(Query{Service: "s", Only: "0"}).RateLimit(limit)
+	is.Equal(other.rateLimit("0"), limit)
+	is.Equal(len(announced), 0)
+}
+
+// TestInvalidLimitOfOtherHostIsIgnored guards against a message that stops a replica: one with
+// a rate that is none, or about another incarnation.
+func TestInvalidLimitOfOtherHostIsIgnored(t *testing.T) {
+	is := is.New(t)
+	s := newTestSet(1)
+	for _, perSecond := range []float64{math.NaN(), math.Inf(1), -1} {
+		s.LearnLimit("0", 1, perSecond)
+	}
+	s.LearnLimit("0", 2, 10)
+	s.LearnLimit("unknown", 1, 10)
+	is.Equal(s.rateLimit("0"), RateLimit{})
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -11,6 +11,8 @@
 type Set struct {
 	domain string
 	events *event.Logger
+	// onLimit is called without the mutex; nil for none.
+	onLimit func(record Record, perSecond float64)
 
 	mu        sync.Mutex
 	byID      map[string]*Replica
