Send long requests to replicas with a rate limit

What limited replicas do not accept fell on the two others of capped, which had 45 requests at a time for 16 slots and answered after 0.9 s, while each limited replica ran two. Limits count requests, whatever work they cause, and the few accepted ones were of average size; each turn at a limited replica also cost the session its cached history.

Cause of the loss, so: which requests use up what limited replicas accept. Each host keeps a threshold, relative to the mean size, above which requests may go to limited replicas: it rises with each larger request that finds them all at their limit and falls with each that is accepted. Smaller ones use limited replicas only if there is no other. A session that visits a limited replica goes on to prefer the replica that has its history.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,4 +33,7 @@
 	// SharedTokens is the size of the part of the prompt that many programs have in common.
 	SharedTokens int
 	MaxTokens    int
+	// ExpectedTokens is the caller's estimate of the number of tokens to generate, which is
+	// often far off; 0 if it sent none.
+	ExpectedTokens int
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -82,7 +82,7 @@
 	if x.service.Engine != nil {
 		t.tokensPerEvent = max(x.service.Engine.TokensPerEvent, 1)
 	}
-	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Prefer: begun.Replica,
+	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Prefer: begun.Replica, Size: x.call.ExpectedTokens,
 		Gain: minPreviousReplicaGain + float64(x.call.PromptTokens-x.call.SharedTokens)/prefillTokensPerMS/eventMS}
 	body := [][]byte{begun.Chain, x.body}
 	a, err := x.startStream(ctx, body, q)
@@ -91,7 +91,7 @@
 		x.fail(ctx, err)
 		return
 	}
-	t.record.Replica = x.replica
+	t.record.Replica = x.g.replicas.Preferred(begun.Replica, x.replica)
 	if a.answer.Status == http.StatusOK && a.info.Signed {
 		x.stream(ctx, a, body, q, t)
 		return
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -47,6 +47,8 @@
 	// the time which that saves, as a fraction of the baseline latency.
 	Prefer string
 	Gain   float64
+	// Size is the expected size of the answer, in any unit; 0 if it is unknown.
+	Size int
 	// Only, if set, is the ID of the only replica that may be chosen.
 	Only string
 	// Exclude holds the IDs of replicas that were already tried.
@@ -56,44 +58,78 @@
 	Paused bool
 }
 
-// Choose returns a lease on the replica with the lowest score, or nil if none is
-// feasible. An ejected replica is chosen only if all feasible ones are ejected.
+// rank is a group of replicas. A replica is chosen only if no feasible one has a lower rank.
+type rank uint8
+
+const (
+	rankNormal rank = iota
+	// rankReserved is that of replicas with a rate limit for requests that are too small for
+	// them at present.
+	rankReserved
+	rankEjected
+)
+
+// Choose returns a lease on the replica with the lowest score among the feasible ones of the
+// lowest rank, or nil if none is feasible.
 func (s *Set) Choose(q Query) *Lease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	var best, fallback *Replica
-	bestScore, fallbackScore := 0.0, 0.0
+	sizes := s.sizesLocked(q.Service)
+	sizes.observe(q.Size)
+	tooSmall := sizes.isTooSmall(q.Size, now)
+	var best *Replica
+	var bestRank rank
+	var bestScore float64
+	limited, accepting := 0, 0
 	for _, r := range s.services[q.Service] {
-		if !s.feasible(r, q, now) || q.Paused != r.limit.pausedUntil.After(now) {
+		if !s.feasible(r, q, now) {
+			continue
+		}
+		paused := r.limit.pausedUntil.After(now)
+		if r.limit.Limited {
+			limited++
+			if !paused {
+				accepting++
+			}
+		}
+		if q.Paused != paused {
 			continue
 		}
+		rank := r.rank(tooSmall, now)
 		score := s.score(r, q, now)
 		if q.Paused {
 			score = r.limit.pausedUntil.Sub(now).Seconds()
 		}
-		if r.ejected(now) {
-			if fallback == nil || score < fallbackScore {
-				fallback, fallbackScore = r, score
-			}
-			continue
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = r, score
+		if best == nil || rank < bestRank || (rank == bestRank && score < bestScore) {
+			best, bestRank, bestScore = r, rank, score
 		}
 	}
-	if best == nil {
-		best = fallback
+	if limited > 0 && accepting == 0 && !tooSmall && !q.Paused {
+		sizes.raise(now)
 	}
 	if best == nil {
 		return nil
 	}
-	lease := &Lease{set: s, replica: best, class: q.Class, start: now}
+	lease := &Lease{set: s, replica: best, class: q.Class, start: now, small: tooSmall}
 	best.inflight++
 	best.awaitingFirstByte[lease] = struct{}{}
 	return lease
 }
 
+// rank returns the replica's rank for a request. TooSmall is set if the request is too small for
+// replicas with a rate limit.
+func (r *Replica) rank(tooSmall bool, now time.Time) rank {
+	switch {
+	case r.ejected(now):
+		return rankEjected
+	case tooSmall && r.limit.Limited:
+		return rankReserved
+	default:
+		return rankNormal
+	}
+}
+
 // feasible reports whether the attempt may be sent to a replica.
 func (s *Set) feasible(r *Replica, q Query, now time.Time) bool {
 	if !r.removeAt.IsZero() && now.After(r.removeAt) {
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -4,10 +4,12 @@
 
 // Lease is one attempt that is in flight at a replica. It must be ended with Done.
 type Lease struct {
-	set           *Set
-	replica       *Replica
-	class         string
-	start         time.Time
+	set     *Set
+	replica *Replica
+	class   string
+	start   time.Time
+	// small is set if the request is too small for replicas with a rate limit.
+	small         bool
 	firstByteSeen bool
 	done          bool
 }
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -92,6 +92,19 @@
 	s.events.Log(event.ReplicaLimitChanged, fields)
 }
 
+// Preferred returns which replica a session should prefer after a turn at the replica used, if it
+// preferred previous before. Turns can return from a replica with a rate limit to the one that
+// has most of the session cached.
+func (s *Set) Preferred(previous, used string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, u := s.byID[previous], s.byID[used]
+	if p != nil && u != nil && u.limit.Limited && !p.limit.Limited {
+		return previous
+	}
+	return used
+}
+
 // Limit returns the replica's rate limit and the time since it was confirmed.
 func (l *Lease) Limit() (limit RateLimit, age time.Duration) {
 	l.set.mu.Lock()
@@ -114,7 +127,11 @@
 func (l *Lease) Delay(wait time.Duration) {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
-	l.start = time.Now().Add(wait)
+	now := time.Now()
+	l.start = now.Add(wait)
+	if !l.small {
+		l.set.sizesLocked(l.replica.record.Service).lower(now)
+	}
 	if l.replica.limit.Limited {
 		l.replica.limit.sent++
 		limitedRequests.Inc()
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -18,12 +18,15 @@
 	byID      map[string]*Replica
 	services  map[string][]*Replica
 	baselines map[string]*baseline
+	// sizes holds the sizes of requests by service.
+	sizes map[string]*sizes
 }
 
 // NewSet returns an empty set for a host in the given failure domain.
 func NewSet(domain string, events *event.Logger) *Set {
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
-		services: make(map[string][]*Replica), baselines: make(map[string]*baseline)}
+		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
+		sizes: make(map[string]*sizes)}
 }
 
 // Put adds a replica or updates its record. A record of another incarnation, address or
