Log digests of failed requests and why a previous turn is not found

Logs could not tell repetitions of one request from different ones, nor a turn of another account from an unknown one. Failed requests have a digest of account, method, path and body; refusals a detail that callers are not told.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/route"
 )
@@ -44,6 +45,8 @@
 	// status is the status code that was sent; 0 if the connection was aborted.
 	status int
 	reason string
+	// detail is logged beside the reason and not sent to the caller.
+	detail string
 	// callerLeft is set if the caller closed its connection before the request ended.
 	callerLeft bool
 }
@@ -53,7 +56,7 @@
 	if x.admitted && !x.mayHaveRun {
 		x.refundQuota()
 	}
-	x.status, x.reason = f.status, f.reason
+	x.status, x.reason, x.detail = f.status, f.reason, f.detail
 	f.write(x.w)
 }
 
@@ -71,6 +74,11 @@
 	return x.account.Name
 }
 
+// digest returns the digest of the request.
+func (x *exchange) digest() quarantine.Digest {
+	return quarantine.DigestOf(x.accountName(), x.call.Method, x.call.URI, x.body)
+}
+
 // logRequest logs the outcome of the request and updates the metrics.
 func (x *exchange) logRequest() {
 	took := time.Since(x.start)
@@ -96,6 +104,12 @@
 	if x.reason != "" {
 		fields["reason"] = x.reason
 	}
+	if x.detail != "" {
+		fields["detail"] = x.detail
+	}
+	if x.route != nil && (x.mayHaveRun && x.reason != "" || x.detail != "") {
+		fields["digest"] = x.digest().String()
+	}
 	switch {
 	case x.callerLeft:
 		requestsAbandoned.Inc()
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -11,6 +11,8 @@
 type refusal struct {
 	status int
 	reason string
+	// detail is logged beside the reason and not sent to the caller.
+	detail string
 	// retryAfter, if set, is sent as the Retry-After header.
 	retryAfter time.Duration
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -29,6 +29,9 @@
 	minPreviousReplicaGain = 0.3
 )
 
+// noSuchTurn is the reason of a refusal because the previous turn is not one of the account's.
+const noSuchTurn = "no such turn to continue"
+
 // turn is a turn in progress. The methods of a nil turn store nothing.
 type turn struct {
 	x              *exchange
@@ -114,8 +117,11 @@
 		return nil
 	case turns.Exhausted:
 		return &refusal{status: http.StatusPaymentRequired, reason: "token budget of the program is spent"}
-	case turns.UnknownParent, turns.ForeignParent:
-		return &refusal{status: http.StatusNotFound, reason: "no such turn to continue"}
+	case turns.UnknownParent:
+		return &refusal{status: http.StatusNotFound, reason: noSuchTurn, detail: "turn is unknown"}
+	case turns.ForeignParent:
+		// The caller must not learn that the turn exists.
+		return &refusal{status: http.StatusNotFound, reason: noSuchTurn, detail: "turn belongs to another client account"}
 	default:
 		return g.refuseUnavailable("state of the program is not available", retrySoon)
 	}
