Refuse requests under which replicas end, at all hosts

Cause: no host knows of crashes at others; the same class as the limits, something of the whole fleet that one host keeps.

A host whose request breaks off checks whether the replica still accepts a connection. If not, it tells all hosts which requests (digests of account, method, path and body) ran there. When three replicas have ended under one request, as two hosts at least saw, all hosts refuse it for ten minutes, before anything else is done for it, with the time that is left. One complete answer clears it. Whoever has not heard of a quarantined request for one to two seconds repeats it, so that hosts which start or were cut off learn of it, whichever hosts are lost. Nothing is stored. A host by itself tries no further replica after two have ended under a request.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -22,6 +22,7 @@
 	"cowslipgw/internal/gateway"
 	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/peers"
+	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/storelog"
@@ -51,6 +52,8 @@
 	// preloadInterval is how often the partitions that may move to this host are
 	// preloaded.
 	preloadInterval = time.Second
+	// quarantineCheckInterval is how often the host checks whether it must repeat a notice.
+	quarantineCheckInterval = 200 * time.Millisecond
 	// preloadDelay is the time in which a new host receives heartbeats from all
 	// others.
 	preloadDelay = 1500 * time.Millisecond
@@ -66,18 +69,19 @@
 	// droppedLines returns the number of dropped log lines.
 	droppedLines func() uint64
 
-	table     *peers.Table
-	overload  peers.OverloadDetector
-	registry  *peers.Registry
-	beacon    *peers.Beacon
-	owner     *turns.Owner
-	client    *turns.Client
-	limiter   *quota.Limiter
-	pacer     *pacing.Pacer
-	config    *gateway.ConfigWatcher
-	discovery *gateway.Discovery
-	pool      *forward.Pool
-	gateway   *gateway.Gateway
+	table      *peers.Table
+	overload   peers.OverloadDetector
+	registry   *peers.Registry
+	beacon     *peers.Beacon
+	owner      *turns.Owner
+	client     *turns.Client
+	limiter    *quota.Limiter
+	pacer      *pacing.Pacer
+	quarantine *quarantine.Table
+	config     *gateway.ConfigWatcher
+	discovery  *gateway.Discovery
+	pool       *forward.Pool
+	gateway    *gateway.Gateway
 }
 
 // endpoint is an HTTP server and its listen address.
@@ -108,24 +112,27 @@
 	var err error
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
 	replicas := replica.NewSet(s.Domain, events)
+	p.quarantine = quarantine.NewTable(p.table, func(n peers.Notice) { p.beacon.Broadcast(n) }, events)
 	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, func(b peers.Heartbeat) {
 		limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
 		for _, limit := range b.Limits {
 			replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
 		}
+		p.quarantine.Receive(b.Host.ID, b.Notice)
 	}, events)
 	if err != nil {
 		return nil, err
 	}
 	replicas.OnLimit(func(r replica.Record, perSecond float64) {
-		p.beacon.AnnounceLimit(peers.ReplicaLimit{Replica: r.ID, Incarnation: r.Born, PerSecond: perSecond})
+		p.beacon.Broadcast(peers.Notice{Limits: []peers.ReplicaLimit{{Replica: r.ID, Incarnation: r.Born, PerSecond: perSecond}}})
 	})
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
 		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
 	p.pool = forward.NewPool()
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Replicas: replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Pool: p.pool, Turns: p.client, Events: events,
+		Replicas: replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Pool: p.pool, Turns: p.client,
+		Quarantine: p.quarantine, Events: events,
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
 }
@@ -186,6 +193,7 @@
 	go p.discovery.Run(ctx)
 	go p.owner.Sweep(ctx, p.client.Owns)
 	go every(ctx, sweepInterval, p.pool.Sweep)
+	go every(ctx, quarantineCheckInterval, p.quarantine.Repeat)
 	go p.preload(ctx)
 	go every(ctx, servingCheckInterval, func() { p.table.SetServing(p.ready()) })
 	go p.handleReloads(ctx)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -28,5 +28,7 @@
 	SettingsInvalid      = define(1741, logrus.ErrorLevel, "settings file is invalid and was ignored")
 	ReplicaLimitChanged  = define(1744, logrus.InfoLevel, "replica changed the rate of requests that it accepts")
 	ReplicaAtLimit       = define(1745, logrus.InfoLevel, "replica accepts no more requests at present")
+	ReplicaCrashed       = define(1746, logrus.WarnLevel, "replica ended while it ran requests")
+	RequestQuarantined   = define(1747, logrus.WarnLevel, "request is refused because replicas end when they run it")
 	ReplicaEjected       = define(1743, logrus.WarnLevel, "replica was temporarily ejected from load balancing")
 )
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -49,6 +49,21 @@
 		}
 		c.Close()
 	}
+	return dial(ctx, t)
+}
+
+// Reachable reports whether a new connection to a replica can be opened. The connection is kept.
+func (p *Pool) Reachable(ctx context.Context, addr, instance string) bool {
+	t := target{addr: addr, instance: instance}
+	c, err := dial(ctx, t)
+	if err != nil {
+		return false
+	}
+	p.put(t, c)
+	return true
+}
+
+func dial(ctx context.Context, t target) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", t.addr)
 	if err != nil {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -61,9 +61,25 @@
 	if x.account != nil && !x.g.config.KeysUsable() {
 		return x.g.refuseStaleKeys()
 	}
+	if f := x.refuseQuarantined(); f != nil {
+		return f
+	}
 	return x.admitRate(r.Context())
 }
 
+// refuseQuarantined refuses a request that crashes the replicas which run it.
+func (x *exchange) refuseQuarantined() *refusal {
+	if !x.g.quarantine.HasSuspects() {
+		return nil
+	}
+	remaining, isRefused := x.g.quarantine.Refused(x.digest())
+	if !isRefused {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "request ended the replicas that ran it",
+		detail: "request is in quarantine", retryAfter: remaining}
+}
+
 // timeout returns how long the request may take: the caller's timeout or the route's, whichever
 // is shorter.
 func (x *exchange) timeout() time.Duration {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,6 +19,9 @@
 	// minFirstByteTimeout is the minimum time that an idempotent request waits for the
 	// first byte before another replica is tried.
 	minFirstByteTimeout = 250 * time.Millisecond
+	// maxCrashes is the number of replicas that may have ended under a request, at any host, up
+	// to which the host tries another one by itself.
+	maxCrashes = 1
 	// minAttemptTime is the minimum time until the deadline for which an attempt is
 	// started.
 	minAttemptTime = 5 * time.Millisecond
@@ -58,7 +61,7 @@
 	q.Exclude = x.tried
 	last := errNoReplica
 	refusals := 0
-	for x.attempts < max(x.route.MaxAttempts, 1) && refusals <= maxExtraRefusals {
+	for x.attempts < max(x.route.MaxAttempts, 1) && refusals <= maxExtraRefusals && x.mayTryAnother() {
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
@@ -122,8 +125,10 @@
 			return nil, errFirstByteTimeout
 		case errors.Is(err, forward.ErrUnreachable):
 			lease.Done(replica.Unreachable, 1)
+			x.g.crashes.unreachable(record)
 		case errors.Is(err, forward.ErrBroken):
 			lease.Done(replica.Reset, 1)
+			x.breakOff(record)
 		default:
 			lease.Done(replica.Broken, 1)
 		}
--- a/internal/gateway/deadly_fleet_test.go
+++ b/internal/gateway/deadly_fleet_test.go
@@ -21,7 +21,7 @@
 			body, _ := io.ReadAll(r.Body)
 			signed(w, r)
 			if string(body) != "deadly" {
-				_, _ = io.WriteString(w, "fine")
+				_, _ = io.WriteString(w, "id: 1\ndata: fine\n\n")
 				return
 			}
 			runs.Add(1)
@@ -42,7 +42,7 @@
 		// learning is the time in which all hosts learn of a crash.
 		learning = 400 * time.Millisecond
 	)
-	for _, path := range []string{"/unsafe/x", "/draft/x", "/resumable/x"} {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/draft/x", "/resumable/x"} {
 		is := is.New(t)
 		var runs atomic.Int64
 		fleet := newTestFleet(t, 3, crashingUpstreams(replicas, &runs)...)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
+	"cowslipgw/internal/replica"
 	"cowslipgw/internal/route"
 )
 
@@ -36,6 +37,8 @@
 	attempts   int
 	mayHaveRun bool
 	tried      map[string]bool
+	// brokenAt holds the replicas whose connection broke before the end of the answer.
+	brokenAt []replica.Record
 	// resumptions counts the attempts that continue an earlier one.
 	resumptions int
 	// after is the ID of the last event that the caller was sent, if the stream is resumed.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -15,6 +15,7 @@
 	"cowslipgw/internal/gateway"
 	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/peers"
+	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/route"
@@ -155,7 +156,7 @@
 	client := turns.NewClient(singleHost{}, nil)
 	client.SetOwner(turns.NewOwner(peers.Host{ID: "self", Incarnation: incarnations.Add(1)}, gw.log, singleHost{}, 8, events))
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
-		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: fleet.join(), Pool: forward.NewPool(), Turns: client, Events: events,
+		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: fleet.join(), Quarantine: fleet.newTable(), Pool: forward.NewPool(), Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway = g
 	gw.entry = httptest.NewServer(g)
@@ -170,6 +171,7 @@
 type testFleet struct {
 	hosts  []peers.Host
 	pacers map[string]*pacing.Pacer
+	tables []*quarantine.Table
 }
 
 // join adds a host and returns its client of the replicas' owners.
@@ -183,6 +185,20 @@
 	return pacing.NewClient(fleetHost{singleHost{}, f, host}, f, pacer)
 }
 
+// newTable returns the table of quarantined requests of the host that joined last.
+func (f *testFleet) newTable() *quarantine.Table {
+	self := len(f.hosts) - 1
+	table := quarantine.NewTable(fleetHost{singleHost{}, f, f.hosts[self]}, func(n peers.Notice) {
+		for other, table := range f.tables {
+			if other != self {
+				table.Receive(f.hosts[self].ID, n)
+			}
+		}
+	}, event.Discard())
+	f.tables = append(f.tables, table)
+	return table
+}
+
 // Call implements peers.Calls.
 func (f *testFleet) Call(_ context.Context, h peers.Host, _ string, args, reply any) error {
 	*reply.(*pacing.ReserveReply) = f.pacers[h.ID].Reserve(args.(pacing.ReserveArgs))
@@ -196,7 +212,8 @@
 	self  peers.Host
 }
 
-func (h fleetHost) Self() peers.Host { return h.self }
+func (h fleetHost) Self() peers.Host           { return h.self }
+func (h fleetHost) Counts() (known, alive int) { return len(h.fleet.hosts), len(h.fleet.hosts) }
 func (h fleetHost) StorelessCandidates(key uint64, _ int) []peers.Host {
 	return []peers.Host{h.fleet.hosts[key%uint64(len(h.fleet.hosts))]}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/guard"
 	"cowslipgw/internal/pacing"
+	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/turns"
@@ -34,6 +35,9 @@
 	pool     *forward.Pool
 	turns    Turns
 	events   *event.Logger
+	// quarantine holds the requests that crash replicas, which crashes detects.
+	quarantine *quarantine.Table
+	crashes    *crashDetector
 	// storeReachableElsewhere reports whether another live host reaches the store.
 	storeReachableElsewhere func() bool
 
@@ -53,7 +57,9 @@
 	Pacing   *pacing.Client
 	Pool     *forward.Pool
 	Turns    Turns
-	Events   *event.Logger
+	// Quarantine holds the requests that crash replicas.
+	Quarantine *quarantine.Table
+	Events     *event.Logger
 	// StoreReachableElsewhere reports whether another live host reaches the store.
 	StoreReachableElsewhere func() bool
 }
@@ -62,6 +68,7 @@
 func New(deps Dependencies) *Gateway {
 	return &Gateway{codec: deps.Codec, config: deps.Config, quota: deps.Quota, costs: deps.Costs, replicas: deps.Replicas, pacing: deps.Pacing,
 		pool: deps.Pool, turns: deps.Turns, events: deps.Events,
+		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Pool, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -47,6 +47,9 @@
 		switch {
 		case err != nil:
 			a.end(x.failureResult(ctx), 1)
+			if isBroken(err) && ctx.Err() == nil {
+				x.breakOff(a.lease.Record())
+			}
 			x.g.events.Log(event.AttemptFailed, event.Fields{"request": x.call.ID, "replica": x.replica, "error": err.Error()})
 			if !retry {
 				x.fail(ctx, err)
@@ -60,6 +63,7 @@
 				result = replica.Broken
 			}
 			a.end(result, 1)
+			x.completed()
 			x.writeAnswer(a.answer, content)
 			return
 		}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -21,8 +21,12 @@
 // mayResume reports whether a stream whose connection broke may be continued.
 func (x *exchange) mayResume(ctx context.Context, err error) bool {
 	return x.route.Resumable && x.resumptions < maxResumptions && ctx.Err() == nil &&
-		time.Until(x.deadline) >= minAttemptTime &&
-		(errors.Is(err, forward.ErrBroken) || errors.Is(err, io.ErrUnexpectedEOF))
+		time.Until(x.deadline) >= minAttemptTime && isBroken(err)
+}
+
+// isBroken reports whether an attempt failed because its connection did.
+func isBroken(err error) bool {
+	return errors.Is(err, forward.ErrBroken) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // startStream sends a streaming request. If the connection breaks before the head of the answer,
@@ -49,7 +53,7 @@
 		return nil, errNotResumable
 	}
 	a, err := x.try(ctx, lease, body)
-	if errors.Is(err, forward.ErrUnreachable) {
+	if errors.Is(err, forward.ErrUnreachable) && x.mayTryAnother() {
 		x.attempts = max(x.attempts-1, 0)
 		q.Only = ""
 		a, err = x.dispatch(ctx, body, q)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -50,9 +50,13 @@
 		}
 		if err == nil {
 			a.end(replica.Answered, s.count)
+			x.completed()
 			break
 		}
 		a.end(replica.Broken, s.count)
+		if isBroken(err) && ctx.Err() == nil {
+			x.breakOff(a.lease.Record())
+		}
 		s.resume()
 		if x.mayResume(ctx, err) {
 			if a, err = x.continueStream(ctx, body, q, s.lastID); err == nil {
--- a/internal/peers/announce.go
+++ b/internal/peers/announce.go
@@ -28,13 +28,13 @@
 	return Datagram{t.allLocked(), t.messageLocked(condition)}
 }
 
-// limitMessage returns a message for all other hosts with the limit of a replica.
-func (t *Table) limitMessage(limit ReplicaLimit) Datagram {
+// noticeMessage returns a message for all other hosts with a notice.
+func (t *Table) noticeMessage(notice Notice) Datagram {
 	condition := t.condition()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	message := t.messageLocked(condition)
-	message.Limits = []ReplicaLimit{limit}
+	message.Notice = notice
 	return Datagram{t.allLocked(), message}
 }
 
--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -20,7 +20,7 @@
 	table *Table
 	conn  *net.UDPConn
 	// usage returns the usage of client accounts to send, by the ID of the host that needs
-	// it; received is called with the messages of other hosts that contain usage or limits.
+	// it; received is called with the messages of other hosts that contain usage or a notice.
 	usage    func() map[string]map[uint32]Usage
 	received func(Heartbeat)
 	events   *event.Logger
@@ -63,8 +63,12 @@
 // Announce sends this host's condition to all other hosts.
 func (b *Beacon) Announce() { b.send(b.table.Announce()) }
 
-// AnnounceLimit sends the limit of a replica to all other hosts.
-func (b *Beacon) AnnounceLimit(limit ReplicaLimit) { b.send(b.table.limitMessage(limit)) }
+// Broadcast sends a notice to all other hosts, and once more a little later, since datagrams are
+// lost now and then.
+func (b *Beacon) Broadcast(notice Notice) {
+	b.send(b.table.noticeMessage(notice))
+	time.AfterFunc(repeatDelay, func() { b.send(b.table.noticeMessage(notice)) })
+}
 
 func (b *Beacon) send(d Datagram) {
 	if len(d.To) == 0 {
@@ -107,7 +111,7 @@
 	if reply != nil {
 		b.send(*reply)
 	}
-	if ok && len(beat.Usage)+len(beat.Limits) > 0 {
+	if ok && (len(beat.Usage) > 0 || !beat.Notice.isEmpty()) {
 		b.received(beat)
 	}
 }
--- a/internal/peers/beacon_test.go
+++ b/internal/peers/beacon_test.go
@@ -66,12 +66,13 @@
 		t.Cleanup(func() { _ = beacon.Close() })
 		return beacon, Host{ID: id, Incarnation: 1, Addr: beacon.conn.LocalAddr().String()}
 	}
-	limits := make(chan ReplicaLimit, 1)
+	limits := make(chan ReplicaLimit, 2)
 	sender, _ := newBeacon("a", func(Heartbeat) {})
 	receiver, host := newBeacon("b", func(b Heartbeat) { limits <- b.Limits[0] })
 	sender.table.HandleHeartbeat(Heartbeat{Host: host})
 	go receiver.Receive()
 	limit := ReplicaLimit{Replica: "r", Incarnation: 7, PerSecond: 12.5}
-	sender.AnnounceLimit(limit)
+	sender.Broadcast(Notice{Limits: []ReplicaLimit{limit}})
 	is.Equal(<-limits, limit)
+	is.Equal(<-limits, limit) // repeated, since a datagram may be lost
 }
--- a/internal/peers/fuzz_test.go
+++ b/internal/peers/fuzz_test.go
@@ -14,7 +14,8 @@
 		{Host: Host{ID: "1", Incarnation: 2, Addr: "127.0.0.1:9", Cores: 0.5}, Condition: Condition{Serving: true}, Hello: true},
 		{Host: Host{ID: "0"}, Reports: []Report{{Host: "0", Missing: true}, {Host: "1", Incarnation: 1, Missing: true}}},
 		{Host: Host{ID: "2", Incarnation: -1, Addr: "x"}, Usage: map[uint32]Usage{7: {Admitted: 1, Recent: 3}}},
-		{Host: Host{ID: "3"}, Limits: []ReplicaLimit{{Replica: "r", Incarnation: 5, PerSecond: 12.5}}},
+		{Host: Host{ID: "3"}, Notice: Notice{Limits: []ReplicaLimit{{Replica: "r", Incarnation: 5, PerSecond: 12.5}},
+			Crashes: []Crash{{Replica: "r", Incarnation: 5}}, Completed: []RequestDigest{{1}}, Quarantined: []Quarantine{{RemainingMS: 9}}}},
 	}
 	for _, seed := range seeds {
 		data, err := cbor.Marshal(seed)
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -27,16 +27,7 @@
 	Hello bool `cbor:"8,keyasint,omitempty"`
 	// Reports are changes in what the sender hears of the hosts that it watches.
 	Reports []Report `cbor:"9,keyasint,omitempty"`
-	// Limits are rates that replicas accept from all hosts, as the sender has just learned them.
-	Limits []ReplicaLimit `cbor:"10,keyasint,omitempty"`
-}
-
-// ReplicaLimit is the rate of requests that a replica accepts from all hosts together.
-type ReplicaLimit struct {
-	_           struct{} `cbor:",toarray"`
-	Replica     string
-	Incarnation int64
-	PerSecond   float64
+	Notice
 }
 
 // Report tells whether a watcher hears a host that it watches.
--- /dev/null
+++ b/internal/peers/notice.go
@@ -0,0 +1,44 @@
+package peers
+
+// Notice is what a host tells all others beside its own condition. Each part may be missing.
+type Notice struct {
+	// Limits are rates that replicas accept from all hosts, as the sender has just learned them.
+	Limits []ReplicaLimit `cbor:"10,keyasint,omitempty"`
+	// Crashes are replicas that ended while they ran requests of the sender.
+	Crashes []Crash `cbor:"11,keyasint,omitempty"`
+	// Completed are requests that a replica has run to the end although others crashed.
+	Completed []RequestDigest `cbor:"12,keyasint,omitempty"`
+	// Quarantined are requests that no replica may run.
+	Quarantined []Quarantine `cbor:"13,keyasint,omitempty"`
+}
+
+// isEmpty reports whether the notice has no part.
+func (n Notice) isEmpty() bool {
+	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined) == 0
+}
+
+// ReplicaLimit is the rate of requests that a replica accepts from all hosts together.
+type ReplicaLimit struct {
+	_           struct{} `cbor:",toarray"`
+	Replica     string
+	Incarnation int64
+	PerSecond   float64
+}
+
+// RequestDigest identifies a request and its repetitions.
+type RequestDigest [16]byte
+
+// Crash is the end of one incarnation of a replica while it ran a request.
+type Crash struct {
+	_           struct{} `cbor:",toarray"`
+	Request     RequestDigest
+	Replica     string
+	Incarnation int64
+}
+
+// Quarantine is a request that no replica may run for some time.
+type Quarantine struct {
+	_           struct{} `cbor:",toarray"`
+	Request     RequestDigest
+	RemainingMS int64
+}
--- /dev/null
+++ b/internal/quarantine/suspect.go
@@ -0,0 +1,54 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+
+	"cowslipgw/internal/boottime"
+)
+
+// replicaRun is one incarnation of a replica.
+type replicaRun struct {
+	id          string
+	incarnation int64
+}
+
+// suspect is a request under which replicas have crashed.
+type suspect struct {
+	// crashed holds the replicas that ended under the request, and reporters the hosts that saw
+	// them end.
+	crashed   map[replicaRun]struct{}
+	reporters map[string]struct{}
+	lastCrash boottime.Instant
+	// until is the end of the quarantine; 0 if the request may run.
+	until boottime.Instant
+	// repeatAt is when this host tells all others of the quarantine, unless another one does.
+	repeatAt boottime.Instant
+}
+
+func newSuspect(now boottime.Instant) *suspect {
+	return &suspect{crashed: make(map[replicaRun]struct{}), reporters: make(map[string]struct{}), lastCrash: now}
+}
+
+// add records a crash. Beyond what quarantines the request, crashes need not be told apart.
+func (s *suspect) add(host string, replica replicaRun, now boottime.Instant) {
+	if len(s.crashed) <= crashThreshold {
+		s.crashed[replica] = struct{}{}
+	}
+	if len(s.reporters) <= minReporters {
+		s.reporters[host] = struct{}{}
+	}
+	s.lastCrash = now
+}
+
+// expired reports whether the request may be forgotten.
+func (s *suspect) expired(now boottime.Instant) bool {
+	if s.until != 0 {
+		return now >= s.until
+	}
+	return now.Sub(s.lastCrash) > suspectLifetime
+}
+
+// scheduleRepeat sets the time of the next notice after one was sent or heard.
+func (s *suspect) scheduleRepeat(now boottime.Instant) {
+	s.repeatAt = now.Add(repeatInterval + rand.N(repeatJitter))
+}
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,215 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowslipgw/internal/boottime"
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/peers"
+)
+
+const (
+	// crashThreshold is the number of replicas that may end under a request.
+	crashThreshold = 3
+	// minReporters is the number of hosts that must have seen them end: replicas that a single
+	// host no longer reaches have not crashed.
+	minReporters = 2
+	// suspectLifetime is how long a crash counts after the last one.
+	suspectLifetime = time.Minute
+	// quarantineTime is how long a request is refused.
+	quarantineTime = 10 * time.Minute
+	// repeatInterval is the time after which hosts are told again of a quarantined request, and
+	// repeatJitter the largest random addition, after which usually one host does so.
+	repeatInterval = time.Second
+	repeatJitter   = time.Second
+	// maxSuspects is the maximum number of requests that are remembered.
+	maxSuspects = 10_000
+	// maxPerNotice is the maximum number of requests in one message.
+	maxPerNotice = 100
+)
+
+var refused = metrics.NewCounter("cowslipgw_quarantine_refused_total")
+
+// Hosts is the part of the fleet's membership that a Table needs.
+type Hosts interface {
+	Self() peers.Host
+	Counts() (known, alive int)
+}
+
+// Table holds the requests under which replicas have crashed. Its methods are safe for
+// concurrent use. Each host keeps a table; notices make them alike.
+type Table struct {
+	hosts Hosts
+	// broadcast sends a notice to all other hosts.
+	broadcast func(peers.Notice)
+	events    *event.Logger
+	now       func() boottime.Instant
+
+	// count is the number of suspects, for a check without the mutex.
+	count atomic.Int64
+
+	mu       sync.Mutex
+	suspects map[Digest]*suspect
+}
+
+// NewTable returns an empty table. Broadcast sends a notice to all other hosts.
+func NewTable(hosts Hosts, broadcast func(peers.Notice), events *event.Logger) *Table {
+	return &Table{hosts: hosts, broadcast: broadcast, events: events, now: boottime.Now, suspects: make(map[Digest]*suspect)}
+}
+
+// Crashed records that a replica ended while it ran the given requests of this host.
+func (t *Table) Crashed(replica string, incarnation int64, requests []Digest) {
+	for part := range slices.Chunk(requests, maxPerNotice) {
+		var notice peers.Notice
+		for _, d := range part {
+			crash := peers.Crash{Request: peers.RequestDigest(d), Replica: replica, Incarnation: incarnation}
+			t.add(t.hosts.Self().ID, crash)
+			notice.Crashes = append(notice.Crashes, crash)
+		}
+		t.broadcast(notice)
+	}
+}
+
+// Completed records that a replica ran a request of this host to the end, which shows that the
+// request does not crash replicas.
+func (t *Table) Completed(d Digest) {
+	if t.remove(d) {
+		t.broadcast(peers.Notice{Completed: []peers.RequestDigest{peers.RequestDigest(d)}})
+	}
+}
+
+// HasSuspects reports whether any request is remembered. If not, the other methods need not be
+// called.
+func (t *Table) HasSuspects() bool { return t.count.Load() > 0 }
+
+// Refused reports whether a request must not be run, and for how long.
+func (t *Table) Refused(d Digest) (remaining time.Duration, isRefused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspects[d]
+	if s == nil || s.until == 0 {
+		return 0, false
+	}
+	if remaining = s.until.Sub(t.now()); remaining <= 0 {
+		t.deleteLocked(d)
+		return 0, false
+	}
+	refused.Inc()
+	return remaining, true
+}
+
+// Crashes returns the number of replicas that ended under a request.
+func (t *Table) Crashes(d Digest) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.suspects[d]; s != nil {
+		return len(s.crashed)
+	}
+	return 0
+}
+
+// Receive applies a notice of another host.
+func (t *Table) Receive(host string, notice peers.Notice) {
+	for _, crash := range notice.Crashes {
+		t.add(host, crash)
+	}
+	for _, d := range notice.Completed {
+		t.remove(Digest(d))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, q := range notice.Quarantined {
+		if s := t.suspectLocked(Digest(q.Request)); s != nil {
+			remaining := min(max(time.Duration(q.RemainingMS)*time.Millisecond, 0), quarantineTime)
+			s.until = max(s.until, t.now().Add(remaining))
+			s.scheduleRepeat(t.now())
+		}
+	}
+}
+
+// Repeat tells all hosts again of quarantined requests of which this host has not heard for some
+// time, for hosts that have started or were cut off. It also forgets what has expired. It is to
+// be called a few times a second.
+func (t *Table) Repeat() {
+	for _, notice := range t.dueNotices() {
+		t.broadcast(notice)
+	}
+}
+
+// dueNotices returns the notices that are due.
+func (t *Table) dueNotices() []peers.Notice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []peers.Quarantine
+	now := t.now()
+	for d, s := range t.suspects {
+		switch {
+		case s.expired(now):
+			t.deleteLocked(d)
+		case s.until != 0 && now >= s.repeatAt:
+			due = append(due, peers.Quarantine{Request: peers.RequestDigest(d), RemainingMS: s.until.Sub(now).Milliseconds()})
+			s.scheduleRepeat(now)
+		}
+	}
+	var notices []peers.Notice
+	for part := range slices.Chunk(due, maxPerNotice) {
+		notices = append(notices, peers.Notice{Quarantined: part})
+	}
+	return notices
+}
+
+// add records the crash of a replica under a request, as a host reports it, and quarantines the
+// request if it is one too many.
+func (t *Table) add(host string, crash peers.Crash) {
+	_, alive := t.hosts.Counts()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspectLocked(Digest(crash.Request))
+	if s == nil {
+		return
+	}
+	now := t.now()
+	s.add(host, replicaRun{crash.Replica, crash.Incarnation}, now)
+	if s.until != 0 || len(s.crashed) < crashThreshold || len(s.reporters) < min(minReporters, alive) {
+		return
+	}
+	s.until = now.Add(quarantineTime)
+	s.scheduleRepeat(now)
+	t.events.Log(event.RequestQuarantined, event.Fields{"digest": Digest(crash.Request).String(), "replicas": len(s.crashed),
+		"hosts": len(s.reporters), "last_replica": crash.Replica, "for_ms": quarantineTime.Milliseconds()})
+}
+
+// suspectLocked returns the entry of a request, which it adds if needed; nil if there are too
+// many.
+func (t *Table) suspectLocked(d Digest) *suspect {
+	s := t.suspects[d]
+	if s != nil && !s.expired(t.now()) {
+		return s
+	}
+	if s == nil && len(t.suspects) >= maxSuspects {
+		return nil
+	}
+	s = newSuspect(t.now())
+	t.suspects[d] = s
+	t.count.Store(int64(len(t.suspects)))
+	return s
+}
+
+// remove forgets a request and reports whether it was remembered.
+func (t *Table) remove(d Digest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, known := t.suspects[d]
+	t.deleteLocked(d)
+	return known
+}
+
+func (t *Table) deleteLocked(d Digest) {
+	delete(t.suspects, d)
+	t.count.Store(int64(len(t.suspects)))
+}
