Recognise deadly requests by their path, too

Cause: a conversation that repeats its history comes with another body each time, so its digest never recurred; 30 of 78 repetitions had the same body. Account, method, path and query were the same in all, and no other request had them.

Each crash now counts for two digests, with and without the body. The second one is frequent where all requests of an account have one path; there, any request that completes clears it. It is refused for 30 s at first and twice as long after each further crash, the exact one for ten minutes.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -29,11 +29,11 @@
 
 	mu sync.Mutex
 	// pending holds the requests that broke off by replica, until it is checked.
-	pending map[replica.Record][]quarantine.Digest
+	pending map[replica.Record][]quarantine.Request
 }
 
 func newCrashDetector(pool *forward.Pool, table *quarantine.Table, events *event.Logger) *crashDetector {
-	return &crashDetector{pool: pool, table: table, events: events, pending: make(map[replica.Record][]quarantine.Digest)}
+	return &crashDetector{pool: pool, table: table, events: events, pending: make(map[replica.Record][]quarantine.Request)}
 }
 
 // runOf returns the fields of a record that identify one incarnation of a replica.
@@ -42,12 +42,12 @@
 }
 
 // broken records that a request broke off at a replica.
-func (c *crashDetector) broken(r replica.Record, d quarantine.Digest) {
+func (c *crashDetector) broken(r replica.Record, q quarantine.Request) {
 	key := runOf(r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	checking := len(c.pending[key]) > 0
-	c.pending[key] = append(c.pending[key], d)
+	c.pending[key] = append(c.pending[key], q)
 	if !checking {
 		time.AfterFunc(crashCheckDelay, func() { guard.Run(c.events, "crash check", func() { c.check(key) }) })
 	}
@@ -71,8 +71,8 @@
 		return
 	}
 	digests := make([]string, len(requests))
-	for n, d := range requests {
-		digests[n] = d.String()
+	for n, q := range requests {
+		digests[n] = q.Exact.String()
 	}
 	c.events.Log(event.ReplicaCrashed, event.Fields{"replica": r.ID, "addr": r.Addr, "digests": digests})
 	c.table.Crashed(r.ID, r.Born, requests)
@@ -85,7 +85,7 @@
 }
 
 // take removes and returns the requests that broke off at a replica.
-func (c *crashDetector) take(r replica.Record) []quarantine.Digest {
+func (c *crashDetector) take(r replica.Record) []quarantine.Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	requests := c.pending[r]
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -17,12 +17,14 @@
 	w     http.ResponseWriter
 	start time.Time
 
-	call     *Call
-	table    *route.Table
-	route    *route.Route
-	account  *route.Account
-	service  *route.Service
-	body     []byte
+	call    *Call
+	table   *route.Table
+	route   *route.Route
+	account *route.Account
+	service *route.Service
+	body    []byte
+	// digests are computed when they are first needed; nil before.
+	digests  *quarantine.Request
 	deadline time.Time
 
 	// admitted is set if the request was charged to its account's quota; grant is set as
@@ -77,9 +79,13 @@
 	return x.account.Name
 }
 
-// digest returns the digest of the request.
-func (x *exchange) digest() quarantine.Digest {
-	return quarantine.DigestOf(x.accountName(), x.call.Method, x.call.URI, x.body)
+// digest returns the digests of the request.
+func (x *exchange) digest() quarantine.Request {
+	if x.digests == nil {
+		q := quarantine.RequestOf(x.accountName(), x.call.Method, x.call.URI, x.body)
+		x.digests = &q
+	}
+	return *x.digests
 }
 
 // logRequest logs the outcome of the request and updates the metrics.
@@ -111,7 +117,7 @@
 		fields["detail"] = x.detail
 	}
 	if x.route != nil && (x.mayHaveRun && x.reason != "" || x.detail != "") {
-		fields["digest"] = x.digest().String()
+		fields["digest"], fields["path_digest"] = x.digest().Exact.String(), x.digest().Path.String()
 	}
 	switch {
 	case x.callerLeft:
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"cowslipgw/internal/boottime"
 )
@@ -19,8 +20,9 @@
 	crashed   map[replicaRun]struct{}
 	reporters map[string]struct{}
 	lastCrash boottime.Instant
-	// until is the end of the quarantine; 0 if the request may run.
-	until boottime.Instant
+	// until is the end of the last quarantine, and length its length.
+	until  boottime.Instant
+	length time.Duration
 	// repeatAt is when this host tells all others of the quarantine, unless another one does.
 	repeatAt boottime.Instant
 }
@@ -40,12 +42,25 @@
 	s.lastCrash = now
 }
 
+// quarantine begins a quarantine and returns its length. Once that is over, one further crash
+// begins the next.
+func (s *suspect) quarantine(d Digest, now boottime.Instant) time.Duration {
+	switch {
+	case d.hasBody():
+		s.length = maxQuarantineTime
+	case s.length == 0:
+		s.length = pathQuarantineTime
+	default:
+		s.length = min(2*s.length, maxQuarantineTime)
+	}
+	s.until = now.Add(s.length)
+	s.scheduleRepeat(now)
+	return s.length
+}
+
 // expired reports whether the request may be forgotten.
 func (s *suspect) expired(now boottime.Instant) bool {
-	if s.until != 0 {
-		return now >= s.until
-	}
-	return now.Sub(s.lastCrash) > suspectLifetime
+	return now.Sub(max(s.lastCrash, s.until)) > suspectLifetime
 }
 
 // scheduleRepeat sets the time of the next notice after one was sent or heard.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -19,10 +19,13 @@
 	// minReporters is the number of hosts that must have seen them end: replicas that a single
 	// host no longer reaches have not crashed.
 	minReporters = 2
-	// suspectLifetime is how long a crash counts after the last one.
+	// suspectLifetime is how long a crash counts after the last one and after a quarantine.
 	suspectLifetime = time.Minute
-	// quarantineTime is how long a request is refused.
-	quarantineTime = 10 * time.Minute
+	// maxQuarantineTime is how long a request is refused.
+	maxQuarantineTime = 10 * time.Minute
+	// pathQuarantineTime is how long all requests of an account for one path are refused at
+	// first; the time doubles with each further crash, up to maxQuarantineTime.
+	pathQuarantineTime = 30 * time.Second
 	// repeatInterval is the time after which hosts are told again of a quarantined request, and
 	// repeatJitter the largest random addition, after which usually one host does so.
 	repeatInterval = time.Second
@@ -63,23 +66,31 @@
 }
 
 // Crashed records that a replica ended while it ran the given requests of this host.
-func (t *Table) Crashed(replica string, incarnation int64, requests []Digest) {
-	for part := range slices.Chunk(requests, maxPerNotice) {
-		var notice peers.Notice
-		for _, d := range part {
+func (t *Table) Crashed(replica string, incarnation int64, requests []Request) {
+	var crashes []peers.Crash
+	for _, r := range requests {
+		for _, d := range r.digests() {
 			crash := peers.Crash{Request: peers.RequestDigest(d), Replica: replica, Incarnation: incarnation}
 			t.add(t.hosts.Self().ID, crash)
-			notice.Crashes = append(notice.Crashes, crash)
+			crashes = append(crashes, crash)
 		}
-		t.broadcast(notice)
+	}
+	for part := range slices.Chunk(crashes, maxPerNotice) {
+		t.broadcast(peers.Notice{Crashes: part})
 	}
 }
 
 // Completed records that a replica ran a request of this host to the end, which shows that the
 // request does not crash replicas.
-func (t *Table) Completed(d Digest) {
-	if t.remove(d) {
-		t.broadcast(peers.Notice{Completed: []peers.RequestDigest{peers.RequestDigest(d)}})
+func (t *Table) Completed(r Request) {
+	var known []peers.RequestDigest
+	for _, d := range r.digests() {
+		if t.remove(d) {
+			known = append(known, peers.RequestDigest(d))
+		}
+	}
+	if len(known) > 0 {
+		t.broadcast(peers.Notice{Completed: known})
 	}
 }
 
@@ -88,15 +99,16 @@
 func (t *Table) HasSuspects() bool { return t.count.Load() > 0 }
 
 // Refused reports whether a request must not be run, and for how long.
-func (t *Table) Refused(d Digest) (remaining time.Duration, isRefused bool) {
+func (t *Table) Refused(r Request) (remaining time.Duration, isRefused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.suspects[d]
-	if s == nil || s.until == 0 {
-		return 0, false
+	now := t.now()
+	for _, d := range r.digests() {
+		if s := t.suspects[d]; s != nil {
+			remaining = max(remaining, s.until.Sub(now))
+		}
 	}
-	if remaining = s.until.Sub(t.now()); remaining <= 0 {
-		t.deleteLocked(d)
+	if remaining <= 0 {
 		return 0, false
 	}
 	refused.Inc()
@@ -104,13 +116,16 @@
 }
 
 // Crashes returns the number of replicas that ended under a request.
-func (t *Table) Crashes(d Digest) int {
+func (t *Table) Crashes(r Request) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.suspects[d]; s != nil {
-		return len(s.crashed)
+	count := 0
+	for _, d := range r.digests() {
+		if s := t.suspects[d]; s != nil {
+			count = max(count, len(s.crashed))
+		}
 	}
-	return 0
+	return count
 }
 
 // Receive applies a notice of another host.
@@ -123,11 +138,12 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	for _, q := range notice.Quarantined {
 		if s := t.suspectLocked(Digest(q.Request)); s != nil {
-			remaining := min(max(time.Duration(q.RemainingMS)*time.Millisecond, 0), quarantineTime)
-			s.until = max(s.until, t.now().Add(remaining))
-			s.scheduleRepeat(t.now())
+			remaining := min(max(time.Duration(q.RemainingMS)*time.Millisecond, 0), maxQuarantineTime)
+			s.until = max(s.until, now.Add(remaining))
+			s.scheduleRepeat(now)
 		}
 	}
 }
@@ -151,7 +167,7 @@
 		switch {
 		case s.expired(now):
 			t.deleteLocked(d)
-		case s.until != 0 && now >= s.repeatAt:
+		case s.until > now && now >= s.repeatAt:
 			due = append(due, peers.Quarantine{Request: peers.RequestDigest(d), RemainingMS: s.until.Sub(now).Milliseconds()})
 			s.scheduleRepeat(now)
 		}
@@ -175,13 +191,12 @@
 	}
 	now := t.now()
 	s.add(host, replicaRun{crash.Replica, crash.Incarnation}, now)
-	if s.until != 0 || len(s.crashed) < crashThreshold || len(s.reporters) < min(minReporters, alive) {
+	if s.until > now || len(s.crashed) < crashThreshold || len(s.reporters) < min(minReporters, alive) {
 		return
 	}
-	s.until = now.Add(quarantineTime)
-	s.scheduleRepeat(now)
-	t.events.Log(event.RequestQuarantined, event.Fields{"digest": Digest(crash.Request).String(), "replicas": len(s.crashed),
-		"hosts": len(s.reporters), "last_replica": crash.Replica, "for_ms": quarantineTime.Milliseconds()})
+	length := s.quarantine(Digest(crash.Request), now)
+	t.events.Log(event.RequestQuarantined, event.Fields{"digest": Digest(crash.Request).String(), "any_body": !Digest(crash.Request).hasBody(),
+		"replicas": len(s.crashed), "hosts": len(s.reporters), "last_replica": crash.Replica, "for_ms": length.Milliseconds()})
 }
 
 // suspectLocked returns the entry of a request, which it adds if needed; nil if there are too
