--- a/cmd/cowslipgw/process_test.go
+++ b/cmd/cowslipgw/process_test.go
@@ -78,7 +78,9 @@
 		t.Helper()
 		status, body, err := s.chat(i, "return-1")
 		is.NoErr(err)
-		is.Equal(status, http.StatusOK)
+		if status != http.StatusOK {
+			t.Fatalf("turn %d at host %d: status %d: %s", turn, i, status, body)
+		}
 		if want := fmt.Sprintf("I see %d messages", 2*turn-1); !strings.Contains(body, want) {
 			t.Fatalf("turn %d: want %q in %s", turn, want, body)
 		}
