Do not act on a limit's permission after a pause

A host that was suspended counted the age of a limit by a clock that stands still meanwhile, so that its old rate could replace a later one at the owner, and sent a request whose time was long over. Ages use the clock that counts suspensions, and a permission is asked for again half a second after its time.

A request that was rejected while its replica lifted the limit paused the replica without one, for up to 20 s: TestLiftedLimitEndsPause failed before.

--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/replica"
@@ -17,6 +18,8 @@
 	// have a rate limit. A rejection would cost the caller one of few retries, and then the
 	// whole program.
 	maxLimitWait = 300 * time.Millisecond
+	// maxGrantAge is how long after its time a request may be sent to a replica with a rate limit.
+	maxGrantAge = 500 * time.Millisecond
 )
 
 // limitedError is returned if the replicas accept no further request for some time.
@@ -62,6 +65,18 @@
 // reserve waits until the leased replica accepts the request. If that takes longer than maxWait,
 // it ends the lease and returns the time.
 func (x *exchange) reserve(ctx context.Context, lease *replica.Lease, maxWait time.Duration) (wait time.Duration, ok bool) {
+	for {
+		asked := boottime.Now()
+		wait, ok = x.reserveOnce(ctx, lease, maxWait)
+		// A host that was paused meanwhile must not send what was due long ago.
+		if !ok || boottime.Since(asked) <= wait+maxGrantAge {
+			return wait, ok
+		}
+	}
+}
+
+// reserveOnce is reserve for a host that is not paused.
+func (x *exchange) reserveOnce(ctx context.Context, lease *replica.Lease, maxWait time.Duration) (wait time.Duration, ok bool) {
 	limit, age := lease.Limit()
 	if !limit.Limited {
 		return 0, true
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -86,7 +86,7 @@
 		if !s.feasible(r, q, now) {
 			continue
 		}
-		paused := r.limit.pausedUntil.After(now)
+		paused := r.limit.paused(now)
 		if r.limit.Limited {
 			limited++
 			if !paused {
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 )
 
@@ -25,8 +26,10 @@
 // limitState is the rate limit that this host knows of a replica.
 type limitState struct {
 	RateLimit
-	// learnedAt is when the limit was last confirmed.
-	learnedAt time.Time
+	// learnedAt is when the limit was last confirmed, and confirmedAt the same by the clock that
+	// counts suspensions, for hosts that compare what they know.
+	learnedAt   time.Time
+	confirmedAt boottime.Instant
 	// since is when the limit came into force, sent the number of this host's attempts since
 	// then, and logged the rate that was last logged.
 	since  time.Time
@@ -36,6 +39,9 @@
 	pausedUntil time.Time
 }
 
+// paused reports whether the replica accepts no request at present.
+func (l *limitState) paused(now time.Time) bool { return l.Limited && l.pausedUntil.After(now) }
+
 // RateLimit records the rate limit that an answer reports. Answers overtake each other: one to
 // a request that was sent before the limit was reported does not lift it.
 func (l *Lease) RateLimit(limit RateLimit) {
@@ -77,9 +83,9 @@
 	case !limit.Limited:
 		r.limit = limitState{}
 	case !old.Limited:
-		r.limit = limitState{RateLimit: limit, learnedAt: now, since: now, logged: limit.PerSecond}
+		r.limit = limitState{RateLimit: limit, learnedAt: now, confirmedAt: boottime.Now(), since: now, logged: limit.PerSecond}
 	default:
-		r.limit.RateLimit, r.limit.learnedAt = limit, now
+		r.limit.RateLimit, r.limit.learnedAt, r.limit.confirmedAt = limit, now, boottime.Now()
 		if math.Abs(limit.PerSecond-old.logged) <= loggedRateChange*old.logged {
 			return
 		}
@@ -109,7 +115,7 @@
 func (l *Lease) Limit() (limit RateLimit, age time.Duration) {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
-	return l.replica.limit.RateLimit, time.Since(l.replica.limit.learnedAt)
+	return l.replica.limit.RateLimit, boottime.Since(l.replica.limit.confirmedAt)
 }
 
 // LearnLimit records the rate that a replica accepts as another host learned it, unless this
@@ -117,9 +123,9 @@
 func (l *Lease) LearnLimit(perSecond float64, age time.Duration) {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
-	learned := time.Now().Add(-age)
-	if limit := &l.replica.limit; limit.Limited && learned.After(limit.learnedAt) {
-		limit.PerSecond, limit.learnedAt = perSecond, learned
+	confirmed := boottime.Now().Add(-age)
+	if limit := &l.replica.limit; limit.Limited && confirmed > limit.confirmedAt {
+		limit.PerSecond, limit.learnedAt, limit.confirmedAt = perSecond, time.Now().Add(-age), confirmed
 	}
 }
 
--- a/internal/replica/ratelimit_test.go
+++ b/internal/replica/ratelimit_test.go
@@ -177,3 +177,21 @@
 	is.Equal(s.Preferred("gone", "0"), "0")
 	is.Equal(s.Preferred("0", "1"), "1")
 }
+
+// TestLiftedLimitEndsPause guards against a replica that gets no requests although it has lifted
+// its limit, because a request that was rejected before paused it afterwards.
+func TestLiftedLimitEndsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSet(1)
+		s.LearnLimit("0", 1, 0.1)
+		time.Sleep(time.Millisecond)
+		rejected, answered := s.Choose(Query{Service: "s"}), s.Choose(Query{Service: "s"})
+		answered.RateLimit(RateLimit{})
+		answered.Done(Answered, 1)
+		rejected.Pause(10 * time.Second)
+		lease := s.Choose(Query{Service: "s"})
+		is.True(lease != nil)
+		lease.Done(Answered, 1)
+	})
+}
