Let limits follow the store's answer time

While the store answered after 240 ms instead of 4, nearly every turn was refused or broken off: an owner answered after 300 ms in any case, but a turn waits for the append under way and its own; hosts counted the store as lost after 150 ms, so partitions moved and were read again; and a search for a turn read one partition after the other, was not answered within its 300 ms, and its callers took the owners for unreachable.

The monitor of the store estimates its answer time (slower answers count at once, faster ones slowly). Searches read partitions concurrently within the same limit.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -106,7 +106,7 @@
 	peerCaller := peers.NewCaller(p.table)
 	p.limiter = limiter
 	p.pacer = pacing.NewPacer(p.table.Counts)
-	p.client = turns.NewClient(p.table, peerCaller)
+	p.client = turns.NewClient(p.table, peerCaller, monitor.AnswerTime)
 	p.owner = turns.NewOwner(p.table.Self(), store, p.client, s.StorePartitions, events)
 	p.client.SetOwner(p.owner)
 	var err error
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -153,7 +153,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go config.Run(ctx)
-	client := turns.NewClient(singleHost{}, nil)
+	client := turns.NewClient(singleHost{}, nil, func() time.Duration { return 0 })
 	client.SetOwner(turns.NewOwner(peers.Host{ID: "self", Incarnation: incarnations.Add(1)}, gw.log, singleHost{}, 8, events))
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
 		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: fleet.join(), Quarantine: fleet.newTable(), Pool: forward.NewPool(), Turns: client, Events: events,
--- a/internal/storelog/monitor.go
+++ b/internal/storelog/monitor.go
@@ -5,25 +5,36 @@
 	"time"
 )
 
-// overdueAfter is how long a call may take in addition to the time that it asks the store to
-// wait. A healthy store answers within a few milliseconds.
-const overdueAfter = 150 * time.Millisecond
-
-// answerGrace is how long after an answer the store counts as reachable in spite of failed
-// or overdue calls. The store may lose single answers while it serves the host.
-const answerGrace = 200 * time.Millisecond
+const (
+	// minOverdue is the least time that a call may take in addition to the time that it asks the
+	// store to wait. A healthy store answers within a few milliseconds.
+	minOverdue = 150 * time.Millisecond
+	// minAnswerGrace is the least time after an answer for which the store counts as reachable in
+	// spite of failed or overdue calls. The store may lose single answers while it serves the
+	// host.
+	minAnswerGrace = 200 * time.Millisecond
+	// slowMultiple is the same limits as a multiple of the store's answer time: a slow store is
+	// no lost one.
+	slowMultiple = 3
+	// answerTimeWeight is the weight of an answer that is faster than the answer time. Slower
+	// ones count at once.
+	answerTimeWeight = 0.2
+)
 
 // Monitor determines from the outcomes of calls whether this host reaches the store. Its
 // methods are safe for concurrent use.
 type Monitor struct {
 	mu sync.Mutex
-	// pending holds the times at which the calls in flight become overdue.
+	// pending holds the times at which the answers to the calls in flight are expected at the
+	// earliest.
 	pending map[uint64]time.Time
 	next    uint64
 	// lastFailed is set if the call that ended last was not answered, and lastAnswer is
 	// the time of the last answer.
 	lastFailed bool
 	lastAnswer time.Time
+	// answerTime estimates how long the store takes for an answer.
+	answerTime time.Duration
 }
 
 // NewMonitor returns a monitor without any calls, which reports the store as reachable.
@@ -37,7 +48,8 @@
 	defer m.mu.Unlock()
 	id := m.next
 	m.next++
-	m.pending[id] = time.Now().Add(wait + overdueAfter)
+	expected := time.Now().Add(wait)
+	m.pending[id] = expected
 	return func(answered bool) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -45,6 +57,7 @@
 		m.lastFailed = !answered
 		if answered {
 			m.lastAnswer = time.Now()
+			m.observeLocked(m.lastAnswer.Sub(expected))
 		}
 	}
 }
@@ -55,16 +68,37 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	if now.Sub(m.lastAnswer) < answerGrace {
+	if now.Sub(m.lastAnswer) < max(minAnswerGrace, slowMultiple*m.answerTime) {
 		return true
 	}
 	if m.lastFailed {
 		return false
 	}
-	for _, due := range m.pending {
-		if now.After(due) {
+	overdue := max(minOverdue, slowMultiple*m.answerTime)
+	for _, expected := range m.pending {
+		if now.Sub(expected) > overdue {
 			return false
 		}
 	}
 	return true
 }
+
+// AnswerTime returns an estimate of how long the store takes for an answer, or 0 before the
+// first one.
+func (m *Monitor) AnswerTime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answerTime
+}
+
+// observeLocked adds an answer to the estimate. Answers that come sooner than expected, to calls
+// that wait for a record, say nothing.
+func (m *Monitor) observeLocked(d time.Duration) {
+	switch {
+	case d < 0:
+	case d > m.answerTime:
+		m.answerTime = d
+	default:
+		m.answerTime += time.Duration(answerTimeWeight * float64(d-m.answerTime))
+	}
+}
--- a/internal/storelog/monitor_test.go
+++ b/internal/storelog/monitor_test.go
@@ -51,3 +51,36 @@
 		is.True(!m.Healthy())
 	})
 }
+
+// TestSlowStoreIsNoOutage guards against reporting an outage, which moves partitions away from the
+// host, while the store answers every call, sixty times slower than usual.
+func TestSlowStoreIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const slow, interval = 240 * time.Millisecond, 350 * time.Millisecond
+		m := storelog.NewMonitor()
+		call := func(d time.Duration) {
+			done := m.Start(0)
+			time.Sleep(d)
+			done(true)
+		}
+		for range 10 {
+			call(4 * time.Millisecond)
+		}
+		call(slow)
+		for range 20 {
+			time.Sleep(interval)
+			go call(slow)
+			for range 24 {
+				time.Sleep(10 * time.Millisecond)
+				is.True(m.Healthy())
+			}
+		}
+		time.Sleep(time.Second)
+		is.True(m.AnswerTime() >= slow)
+		for range 30 {
+			call(4 * time.Millisecond)
+		}
+		is.True(m.AnswerTime() < 10*time.Millisecond)
+	})
+}
--- a/internal/turns/average.go
+++ b/internal/turns/average.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// averageWeight is the weight of a new sample.
+// averageWeight is the weight of a new sample that is below the average.
 const averageWeight = 0.2
 
-// movingAverage is an exponential moving average of durations. It is safe for concurrent
-// use.
+// movingAverage is an exponential moving average of durations that follows longer ones at once.
+// It is safe for concurrent use.
 type movingAverage struct {
 	mu    sync.Mutex
 	value time.Duration
@@ -26,7 +26,7 @@
 func (a *movingAverage) add(d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.value == 0 {
+	if d > a.value {
 		a.value = d
 	}
 	a.value += time.Duration(averageWeight * float64(d-a.value))
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -12,14 +12,17 @@
 const (
 	// maxCandidates is the maximum number of owners that are tried for one call.
 	maxCandidates = 3
-	// ownerTimeout limits one call to an owner, which takes an append of a few
+	// minOwnerTimeout limits one call to an owner, which takes an append of a few
 	// milliseconds.
-	ownerTimeout = 400 * time.Millisecond
-	// replyMargin is how long before ownerTimeout an owner replies in any case, so that an
-	// owner that waits for the store is not mistaken for an unreachable one.
+	minOwnerTimeout = 400 * time.Millisecond
+	// maxOwnerTimeout is the same limit while the store is slow.
+	maxOwnerTimeout = 1500 * time.Millisecond
+	// ownerAnswers is the number of the store's answers that an owner may need for a call: to the
+	// append under way, to its own append, and to a read after a conflict.
+	ownerAnswers = 3
+	// replyMargin is how long before the limit an owner replies in any case, so that an owner
+	// that waits for the store is not mistaken for an unreachable one.
 	replyMargin = 100 * time.Millisecond
-	// locateTimeout limits the search for a turn at all hosts.
-	locateTimeout = 300 * time.Millisecond
 	// releaseTimeout limits the release call to the previous owner, which may be short of
 	// CPU time.
 	releaseTimeout = 150 * time.Millisecond
@@ -30,11 +33,19 @@
 	hosts  peers.Hosts
 	caller peers.Calls
 	owner  *Owner
+	// answerTime returns how long the store takes for an answer.
+	answerTime func() time.Duration
 }
 
-// NewClient returns a client. SetOwner must be called before the client is used.
-func NewClient(hosts peers.Hosts, caller peers.Calls) *Client {
-	return &Client{hosts: hosts, caller: caller}
+// NewClient returns a client. AnswerTime returns how long the store takes for an answer. SetOwner
+// must be called before the client is used.
+func NewClient(hosts peers.Hosts, caller peers.Calls, answerTime func() time.Duration) *Client {
+	return &Client{hosts: hosts, caller: caller, answerTime: answerTime}
+}
+
+// ownerTimeout returns the limit for one call to an owner.
+func (c *Client) ownerTimeout() time.Duration {
+	return min(max(ownerAnswers*c.answerTime()+replyMargin, minOwnerTimeout), maxOwnerTimeout)
 }
 
 // SetOwner sets the owner that runs on this host.
@@ -86,6 +97,7 @@
 		// Use a separate reply for each call: a late one must not overwrite the next
 		// owner's.
 		var got BeginReply
+		args.WaitMS = remainingMS(ctx)
 		err := c.callHost(ctx, h, "Begin", args, &got, func() { got = c.owner.Begin(ctx, args) })
 		if err != nil {
 			uncertain = true
@@ -104,7 +116,7 @@
 	kept := false
 	c.tryCandidates(ctx, PartitionOf(t.Account, t.Program), func(ctx context.Context, h peers.Host) (bool, error) {
 		var got EndReply
-		err := c.callHost(ctx, h, "End", EndArgs{Turn: t}, &got, func() { got.Kept = c.owner.End(ctx, t) })
+		err := c.callHost(ctx, h, "End", EndArgs{Turn: t, WaitMS: remainingMS(ctx)}, &got, func() { got.Kept = c.owner.End(ctx, t) })
 		if err != nil {
 			return false, err
 		}
@@ -114,6 +126,15 @@
 	return kept
 }
 
+// remainingMS returns the time until the deadline of ctx in milliseconds; 0 if it has none.
+func remainingMS(ctx context.Context) int64 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(deadline).Milliseconds(), 0)
+}
+
 // tryCandidates calls the candidate owners of a partition in order until one decides. It
 // stops at an owner that answers without a decision and is still the first candidate: that
 // owner is about to load the partition, and the others would only load it, too.
@@ -125,7 +146,7 @@
 			return
 		}
 		tried[next.ID] = true
-		attempt, cancel := context.WithTimeout(ctx, ownerTimeout)
+		attempt, cancel := context.WithTimeout(ctx, c.ownerTimeout())
 		decided, err := call(attempt, *next)
 		cancel()
 		if decided && err == nil {
@@ -150,8 +171,9 @@
 // locate asks the owners of all partitions for a turn. The outcome is UnknownParent only if
 // the hosts that answered have the complete state of all partitions between them.
 func (c *Client) locate(ctx context.Context, args LocateArgs) LocateReply {
-	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.ownerTimeout())
 	defer cancel()
+	args.WaitMS = remainingMS(ctx)
 	hosts := c.owners()
 	replies := make(chan LocateReply, len(hosts))
 	for _, h := range hosts {
--- a/internal/turns/locate_test.go
+++ b/internal/turns/locate_test.go
@@ -56,7 +56,7 @@
 func TestSearchAsksOwnersOnly(t *testing.T) {
 	is := is.New(t)
 	f := &largeFleet{}
-	client := turns.NewClient(f, f)
+	client := turns.NewClient(f, f, func() time.Duration { return 0 })
 	client.SetOwner(newOwner(storelog.NewMemory(), nil))
 	reply, _ := client.Begin(deadline(t, time.Second), turns.BeginArgs{Account: "a", Program: "p", Turn: "t", Parent: "unknown", MaxTokens: 1})
 	is.Equal(reply.Outcome, turns.UnknownParent)
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -33,6 +33,9 @@
 	MaxTokens int
 	// RetentionMS is how long the turn is retained after its end, in milliseconds.
 	RetentionMS int64
+	// WaitMS is how long the caller waits for the reply, in milliseconds; 0 in calls of hosts
+	// that do not say so.
+	WaitMS int64
 }
 
 // BeginReply is the response to BeginArgs.
@@ -49,7 +52,12 @@
 }
 
 // EndArgs requests that an owner settle a turn.
-type EndArgs struct{ Turn Turn }
+type EndArgs struct {
+	Turn Turn
+	// WaitMS is how long the caller waits for the reply, in milliseconds; 0 in calls of hosts
+	// that do not say so.
+	WaitMS int64
+}
 
 // EndReply is the response to EndArgs. Kept reports whether the turn is stored.
 type EndReply struct{ Kept bool }
@@ -58,6 +66,9 @@
 type LocateArgs struct {
 	Account string
 	Turn    string
+	// WaitMS is how long the caller waits for the reply, in milliseconds; 0 in calls of hosts
+	// that do not say so.
+	WaitMS int64
 }
 
 // LocateReply is the response to LocateArgs.
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/guard"
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/storelog"
 )
@@ -231,18 +233,39 @@
 		}
 	}
 	reply := LocateReply{Outcome: UnknownParent}
+	var owned []*partition
 	for _, p := range o.partitions {
-		if !owns(p.id) || !o.ensureSynced(ctx, p) {
+		if owns(p.id) {
+			owned = append(owned, p)
+		}
+	}
+	for n, synced := range o.syncAll(ctx, owned) {
+		if !synced {
 			continue
 		}
-		if found := p.locate(args); found.Outcome != UnknownParent {
+		if found := owned[n].locate(args); found.Outcome != UnknownParent {
 			return found
 		}
-		reply.Certain |= 1 << p.id
+		reply.Certain |= 1 << owned[n].id
 	}
 	return reply
 }
 
+// syncAll reads the newest records of partitions concurrently, since a slow store answers each
+// read late, and reports for which of them it has.
+func (o *Owner) syncAll(ctx context.Context, partitions []*partition) []bool {
+	synced := make([]bool, len(partitions))
+	var wait sync.WaitGroup
+	for n, p := range partitions {
+		wait.Go(func() {
+			// A panic leaves the partition uncertain.
+			guard.Run(o.events, "partition read", func() { synced[n] = o.ensureSynced(ctx, p) })
+		})
+	}
+	wait.Wait()
+	return synced
+}
+
 // Preload loads the partitions for which wanted returns true.
 func (o *Owner) Preload(ctx context.Context, wanted func(partition int) bool) {
 	for _, p := range o.partitions {
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -9,9 +9,15 @@
 	"cowslipgw/internal/guard"
 )
 
-// serveTimeout limits the processing of a call from another host, which waits slightly
-// longer.
-const serveTimeout = ownerTimeout - replyMargin
+// serveTimeout returns the limit for the processing of a call from another host, which waits
+// slightly longer.
+func serveTimeout(waitMS int64) time.Duration {
+	wait := time.Duration(min(waitMS, maxOwnerTimeout.Milliseconds())) * time.Millisecond
+	if wait <= 0 {
+		wait = minOwnerTimeout
+	}
+	return max(wait-replyMargin, 0)
+}
 
 // ServiceName is the name under which Service is registered with net/rpc.
 const ServiceName = "Turns"
@@ -39,7 +45,7 @@
 
 // Begin calls Owner.Begin.
 func (s *Service) Begin(args BeginArgs, reply *BeginReply) error {
-	return s.call("Begin", serveTimeout, func(ctx context.Context) error {
+	return s.call("Begin", serveTimeout(args.WaitMS), func(ctx context.Context) error {
 		*reply = s.owner.Begin(ctx, args)
 		return nil
 	})
@@ -47,7 +53,7 @@
 
 // End calls Owner.End.
 func (s *Service) End(args EndArgs, reply *EndReply) error {
-	return s.call("End", serveTimeout, func(ctx context.Context) error {
+	return s.call("End", serveTimeout(args.WaitMS), func(ctx context.Context) error {
 		reply.Kept = s.owner.End(ctx, args.Turn)
 		return nil
 	})
@@ -55,7 +61,7 @@
 
 // Locate calls Owner.Locate.
 func (s *Service) Locate(args LocateArgs, reply *LocateReply) error {
-	return s.call("Locate", locateTimeout, func(ctx context.Context) error {
+	return s.call("Locate", serveTimeout(args.WaitMS), func(ctx context.Context) error {
 		*reply = s.owner.Locate(ctx, args, s.owns)
 		return nil
 	})
