Keep a cleared request cleared when older notices arrive

A request that had completed somewhere could be refused again for up to ten minutes: notices are sent twice, half a second apart, and a repeated notice of its quarantine or of its crashes that was under way restored it at all hosts. Hosts ignore such notices for three seconds after the request was cleared.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,9 @@
 	// repeatJitter the largest random addition, after which usually one host does so.
 	repeatInterval = time.Second
 	repeatJitter   = time.Second
+	// noticeLifetime is the time in which a notice may arrive that was sent before a request
+	// completed.
+	noticeLifetime = 3 * time.Second
 	// maxSuspects is the maximum number of requests that are remembered.
 	maxSuspects = 10_000
 	// maxPerNotice is the maximum number of requests in one message.
@@ -58,11 +62,14 @@
 
 	mu       sync.Mutex
 	suspects map[Digest]*suspect
+	// cleared holds when requests were found to complete, for noticeLifetime.
+	cleared map[Digest]boottime.Instant
 }
 
 // NewTable returns an empty table. Broadcast sends a notice to all other hosts.
 func NewTable(hosts Hosts, broadcast func(peers.Notice), events *event.Logger) *Table {
-	return &Table{hosts: hosts, broadcast: broadcast, events: events, now: boottime.Now, suspects: make(map[Digest]*suspect)}
+	return &Table{hosts: hosts, broadcast: broadcast, events: events, now: boottime.Now, suspects: make(map[Digest]*suspect),
+		cleared: make(map[Digest]boottime.Instant)}
 }
 
 // Crashed records that a replica ended while it ran the given requests of this host.
@@ -131,23 +138,43 @@
 // Receive applies a notice of another host.
 func (t *Table) Receive(host string, notice peers.Notice) {
 	for _, crash := range notice.Crashes {
-		t.add(host, crash)
+		if !t.wasCleared(Digest(crash.Request)) {
+			t.add(host, crash)
+		}
 	}
 	for _, d := range notice.Completed {
 		t.remove(Digest(d))
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
 	for _, q := range notice.Quarantined {
-		if s := t.suspectLocked(Digest(q.Request)); s != nil {
-			remaining := min(max(time.Duration(q.RemainingMS)*time.Millisecond, 0), maxQuarantineTime)
-			s.until = max(s.until, now.Add(remaining))
-			s.scheduleRepeat(now)
+		if !t.wasCleared(Digest(q.Request)) {
+			t.applyQuarantine(q)
 		}
 	}
 }
 
+// applyQuarantine applies the quarantine of a request that another host reports.
+func (t *Table) applyQuarantine(q peers.Quarantine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.suspectLocked(Digest(q.Request))
+	if s == nil {
+		return
+	}
+	now := t.now()
+	remaining := min(max(time.Duration(q.RemainingMS)*time.Millisecond, 0), maxQuarantineTime)
+	s.until = max(s.until, now.Add(remaining))
+	s.scheduleRepeat(now)
+}
+
+// wasCleared reports whether a request was found to complete so recently that a notice about it
+// may be older.
+func (t *Table) wasCleared(d Digest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, known := t.cleared[d]
+	return known && t.now().Sub(at) < noticeLifetime
+}
+
 // Repeat tells all hosts again of quarantined requests of which this host has not heard for some
 // time, for hosts that have started or were cut off. It also forgets what has expired. It is to
 // be called a few times a second.
@@ -163,6 +190,7 @@
 	defer t.mu.Unlock()
 	var due []peers.Quarantine
 	now := t.now()
+	maps.DeleteFunc(t.cleared, func(_ Digest, at boottime.Instant) bool { return now.Sub(at) >= noticeLifetime })
 	for d, s := range t.suspects {
 		switch {
 		case s.expired(now):
@@ -221,6 +249,9 @@
 	defer t.mu.Unlock()
 	_, known := t.suspects[d]
 	t.deleteLocked(d)
+	if known {
+		t.cleared[d] = t.now()
+	}
 	return known
 }
 
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -298,3 +298,32 @@
 	f.tables[0].Repeat()
 	is.True(!f.tables[0].HasSuspects())
 }
+
+// TestLateNoticesDoNotRestoreQuarantine guards against requests that are refused again after one
+// has completed, because notices that were sent before arrive later: each is sent twice.
+func TestLateNoticesDoNotRestoreQuarantine(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(5)
+	var sent []func()
+	for host, table := range f.tables {
+		broadcast := table.broadcast
+		table.broadcast = func(n peers.Notice) {
+			broadcast(n)
+			sent = append(sent, func() { f.tables[(host+1)%5].Receive(strconv.Itoa(host), n) })
+		}
+	}
+	for n := range crashThreshold {
+		f.crash(n, n, deadly)
+	}
+	f.pass(3 * time.Second)
+	is.Equal(f.refusing(deadly), 5)
+	f.tables[0].Completed(deadly)
+	is.Equal(f.refusing(deadly), 0)
+	for _, again := range sent {
+		again()
+	}
+	is.Equal(f.refusing(deadly), 0)
+	f.pass(2 * noticeLifetime)
+	is.Equal(f.refusing(deadly), 0)
+	is.Equal(len(f.tables[0].cleared), 0)
+}
