--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -27,15 +27,24 @@
 // Pool keeps idle connections to replicas by address and instance. Its methods are safe
 // for concurrent use.
 type Pool struct {
-	mu   sync.Mutex
-	idle map[target][]*conn
+	dialer Dialer
+	mu     sync.Mutex
+	idle   map[target][]*conn
+}
+
+// Dialer opens connections to replicas. net.Dialer implements it.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // target is the address of one incarnation of a replica.
 type target struct{ addr, instance string }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: make(map[target][]*conn)} }
+// NewPool returns an empty pool that opens TCP connections.
+func NewPool() *Pool { return NewPoolWith(&net.Dialer{KeepAlive: -1}) }
+
+// NewPoolWith returns an empty pool that opens connections with dialer.
+func NewPoolWith(dialer Dialer) *Pool { return &Pool{dialer: dialer, idle: make(map[target][]*conn)} }
 
 // get returns a usable idle connection, or opens one.
 func (p *Pool) get(ctx context.Context, t target) (*conn, error) {
@@ -49,13 +58,13 @@
 		}
 		c.Close()
 	}
-	return dial(ctx, t)
+	return p.dial(ctx, t)
 }
 
 // Reachable reports whether a new connection to a replica can be opened. The connection is kept.
 func (p *Pool) Reachable(ctx context.Context, addr, instance string) bool {
 	t := target{addr: addr, instance: instance}
-	c, err := dial(ctx, t)
+	c, err := p.dial(ctx, t)
 	if err != nil {
 		return false
 	}
@@ -63,9 +72,10 @@
 	return true
 }
 
-func dial(ctx context.Context, t target) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", t.addr)
+func (p *Pool) dial(ctx context.Context, t target) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := p.dialer.DialContext(ctx, "tcp", t.addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -98,6 +98,8 @@
 	source    *configSource
 	replicas  *replica.Set
 	upstreams []*httptest.Server
+	// links are the host's links to the upstreams.
+	links *cuttableLinks
 }
 
 // addUpstream starts an upstream and registers it as a replica of service s.
@@ -143,7 +145,7 @@
 	table := route.NewTable(1, []*route.Route{newRoute("safe", route.Safe, 3), newRoute("unsafe", route.Unsafe, 3), chat,
 		newRoute("draft", route.Streaming, 1), resumable},
 		[]*route.Service{{Name: "s"}}, []*route.Account{{Name: "acme", Keys: []string{"k"}}, {Name: "small", Keys: []string{"ks"}, Rate: 1, Burst: 1}}, route.Limits{BodyBytes: 1000}, true)
-	gw := &testGateway{log: log, source: &configSource{table: table}, replicas: replica.NewSet("z", events)}
+	gw := &testGateway{log: log, source: &configSource{table: table}, replicas: replica.NewSet("z", events), links: &cuttableLinks{}}
 	for n, handler := range upstreams {
 		gw.addUpstream(t, "r"+strconv.Itoa(n), handler)
 	}
@@ -156,7 +158,7 @@
 	client := turns.NewClient(singleHost{}, nil, func() time.Duration { return 0 })
 	client.SetOwner(turns.NewOwner(peers.Host{ID: "self", Incarnation: incarnations.Add(1)}, gw.log, singleHost{}, 8, events))
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
-		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: fleet.join(), Quarantine: fleet.newTable(), Pool: forward.NewPool(), Turns: client, Events: events,
+		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: fleet.join(), Quarantine: fleet.newTable(), Pool: forward.NewPoolWith(gw.links), Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway = g
 	gw.entry = httptest.NewServer(g)
