Send requests through another host while the host's own links are lost

Cause: a host took the loss of its own links for a fault of the replicas, ejected them one after the other, had no other way to them, and stayed in the directory.

internal/relay now keeps the state of the host's own links: a failed connection, or all replicas quiet while they owe answers, is checked with a new connection and with the question whether another host reaches the replica. Lost links are used no more; another host passes the request on over HTTP, to its own record of the replica, and says whether anything was sent, so that what ran is never repeated. Admission, turns, budgets and rate limits stay with the host that the caller chose. A host without any working link says so to all others and leaves the directory while enough others remain. A crash is reported only if no other host reaches the replica either.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -24,12 +24,20 @@
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
+	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/storelog"
 	"cowslipgw/internal/turns"
 	"cowslipgw/platform"
 )
 
+// Offsets of ports from the first port for traffic between hosts, which serves calls and
+// heartbeats.
+const (
+	metricsPort = 1
+	relayPort   = 2
+)
+
 const (
 	// memoryShare is the fraction of the host's memory that the Go heap may use.
 	memoryShare = 0.7
@@ -81,6 +89,8 @@
 	config     *gateway.ConfigWatcher
 	discovery  *gateway.Discovery
 	pool       *forward.Pool
+	hostPool   *forward.Pool
+	sender     *relay.Sender
 	gateway    *gateway.Gateway
 }
 
@@ -98,6 +108,7 @@
 	p.table = peers.NewTable(peers.Host{
 		ID: s.Host, Incarnation: time.Now().UnixMicro(), Domain: s.Domain, Entry: s.Frontend,
 		Addr: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Cores: s.Cores,
+		Relay: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+relayPort)),
 	}, monitor.Healthy)
 	p.table.SetOverloaded(p.overload.Overloaded)
 	store := platform.NewStore(s.Store, monitor)
@@ -129,9 +140,11 @@
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
 		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
-	p.pool = forward.NewPool()
+	p.pool, p.hostPool = forward.NewPool(), forward.NewPool()
+	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
+	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Replicas: replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Pool: p.pool, Turns: p.client,
+		Replicas: replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
 		Quarantine: p.quarantine, Events: events,
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
@@ -147,7 +160,8 @@
 		{frontend, p.settings.Frontend},
 		{&http.Server{Handler: platform.NewReadiness(p.ready), ReadHeaderTimeout: headerTimeout}, p.settings.Readiness},
 		{&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
-			net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+1))},
+			net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+metricsPort))},
+		{&http.Server{Handler: p.gateway.RelayHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}, p.table.Self().Relay},
 	}
 	if p.settings.Directory != "" {
 		directory := platform.NewDirectory(p.entryAddresses, min(resolveTTL, p.settings.ResolveTTL))
@@ -192,7 +206,9 @@
 	go p.config.Run(ctx)
 	go p.discovery.Run(ctx)
 	go p.owner.Sweep(ctx, p.client.Owns)
+	go p.sender.Run(ctx)
 	go every(ctx, sweepInterval, p.pool.Sweep)
+	go every(ctx, sweepInterval, p.hostPool.Sweep)
 	go every(ctx, quarantineCheckInterval, p.quarantine.Repeat)
 	go p.preload(ctx)
 	go every(ctx, servingCheckInterval, func() { p.table.SetServing(p.ready()) })
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -49,6 +49,7 @@
 // read to the end. Otherwise it closes the connection, which cancels the request.
 func (a *Answer) Close() {
 	a.close.Do(func() {
+		a.pool.end(a.conn)
 		stopped := a.stopWatch()
 		sent := false
 		select {
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,18 +25,25 @@
 	net.Conn
 	// remaining is the number of bytes that may still be read; negative for no limit.
 	remaining int
+	// received is called when bytes arrive.
+	received func()
 }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.remaining < 0 {
-		return l.Conn.Read(p)
-	}
 	if l.remaining == 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := l.Conn.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
+	if l.remaining > 0 {
+		p = p[:min(len(p), l.remaining)]
+	}
+	n, err := l.Conn.Read(p)
+	if n > 0 {
+		l.received()
+	}
+	if l.remaining > 0 {
+		l.remaining -= n
+	}
 	return n, err
 }
 
@@ -44,15 +52,24 @@
 	net.Conn
 	head   *headLimiter
 	reader *bufio.Reader
+	// lastRead is the time since processStart at which bytes last arrived or the last request began.
+	lastRead atomic.Int64
 	// idleSince is the time at which the last answer ended.
 	idleSince time.Time
 	// idleTimeout is the replica's own timeout for idle connections, or 0 if it sent none.
 	idleTimeout time.Duration
 }
 
-func newConn(c net.Conn) *conn {
-	head := &headLimiter{Conn: c, remaining: -1}
-	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
+// newConn returns a connection that records in anyRead, too, when bytes arrive.
+func newConn(raw net.Conn, anyRead *atomic.Int64) *conn {
+	c := &conn{Conn: raw}
+	c.head = &headLimiter{Conn: raw, remaining: -1, received: func() {
+		now := int64(time.Since(processStart))
+		c.lastRead.Store(now)
+		anyRead.Store(now)
+	}}
+	c.reader = bufio.NewReaderSize(c.head, readBufferSize)
+	return c
 }
 
 // reusable reports whether an idle connection is still open and has no bytes to read.
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,10 @@
 	dialer Dialer
 	mu     sync.Mutex
 	idle   map[target][]*conn
+	// flights holds the connections with a request in flight.
+	flights map[*conn]target
+	// lastRead is the time since processStart at which bytes of any replica last arrived.
+	lastRead atomic.Int64
 }
 
 // Dialer opens connections to replicas. net.Dialer implements it.
@@ -44,7 +49,9 @@
 func NewPool() *Pool { return NewPoolWith(&net.Dialer{KeepAlive: -1}) }
 
 // NewPoolWith returns an empty pool that opens connections with dialer.
-func NewPoolWith(dialer Dialer) *Pool { return &Pool{dialer: dialer, idle: make(map[target][]*conn)} }
+func NewPoolWith(dialer Dialer) *Pool {
+	return &Pool{dialer: dialer, idle: make(map[target][]*conn), flights: make(map[*conn]target)}
+}
 
 // get returns a usable idle connection, or opens one.
 func (p *Pool) get(ctx context.Context, t target) (*conn, error) {
@@ -80,7 +87,7 @@
 		return nil, err
 	}
 	connectionsOpened.Inc()
-	return newConn(raw), nil
+	return newConn(raw, &p.lastRead), nil
 }
 
 func usable(c *conn) bool {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return nil, oops.With("cause", err.Error()).Wrap(ErrUnreachable)
 	}
+	p.begin(t, c)
 	stopWatch := closeOnDone(ctx, c)
 	written := make(chan error, 1)
 	if r.bodySize() <= maxSyncBody {
@@ -36,6 +37,7 @@
 	}
 	answer, err := receive(c, r, matches)
 	if err != nil {
+		p.end(c)
 		// A connection that was closed because ctx was done is no sign of a failed replica.
 		if stopWatch() && errors.Is(err, ErrBroken) {
 			p.discard(t)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
+	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/route"
 )
@@ -110,9 +111,11 @@
 	record := lease.Record()
 	header := x.call.Header.Clone()
 	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after})
-	request := &forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header,
-		Body: body, HasBody: x.call.HasBody, Addr: record.Addr, Instance: record.ID}
-	answer, err := x.g.pool.Send(attemptCtx, request, x.isAnswerToRequest)
+	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline,
+		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header,
+			Body: body, HasBody: x.call.HasBody}}
+	answer, through, err := x.g.sender.Send(attemptCtx, request, x.isAnswerToRequest)
+	x.through = through
 	if err != nil {
 		slow := errors.Is(context.Cause(attemptCtx), errFirstByteTimeout)
 		cancel(nil)
@@ -127,7 +130,7 @@
 			lease.Done(replica.Unreachable, 1)
 			x.g.crashes.unreachable(record)
 		case errors.Is(err, forward.ErrBroken):
-			lease.Done(replica.Reset, 1)
+			lease.Done(x.brokenResult(record, replica.Reset), 1)
 			x.breakOff(record)
 		default:
 			lease.Done(replica.Broken, 1)
@@ -155,8 +158,22 @@
 // isAnswerToRequest reports whether an answer belongs to this request. Answers that a
 // replica did not sign may lack the request ID.
 func (x *exchange) isAnswerToRequest(_ int, h http.Header) bool {
-	info := x.g.codec.Answer(h)
-	return info.RequestID == x.call.ID || (info.RequestID == "" && !info.Signed)
+	return x.g.isAnswerTo(x.call.ID, h)
+}
+
+// isAnswerTo reports whether an answer belongs to the request with the given ID.
+func (g *Gateway) isAnswerTo(id string, h http.Header) bool {
+	info := g.codec.Answer(h)
+	return info.RequestID == id || (info.RequestID == "" && !info.Signed)
+}
+
+// brokenResult returns the result to report for an attempt whose connection broke: a lost link of
+// this host says nothing about the replica.
+func (x *exchange) brokenResult(r replica.Record, otherwise replica.Result) replica.Result {
+	if x.g.sender.LinkLost(r) {
+		return replica.LinkLost
+	}
+	return otherwise
 }
 
 // fail sends an error response after no replica gave a usable answer.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"cowslipgw/internal/event"
-	"cowslipgw/internal/forward"
 	"cowslipgw/internal/guard"
 	"cowslipgw/internal/quarantine"
+	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
 )
 
@@ -21,9 +21,9 @@
 )
 
 // crashDetector tells crashes of replicas from other causes of broken connections: a crashed
-// replica accepts no new connection.
+// replica accepts no new connection of any host.
 type crashDetector struct {
-	pool   *forward.Pool
+	sender *relay.Sender
 	table  *quarantine.Table
 	events *event.Logger
 
@@ -32,13 +32,13 @@
 	pending map[replica.Record][]quarantine.Request
 }
 
-func newCrashDetector(pool *forward.Pool, table *quarantine.Table, events *event.Logger) *crashDetector {
-	return &crashDetector{pool: pool, table: table, events: events, pending: make(map[replica.Record][]quarantine.Request)}
+func newCrashDetector(sender *relay.Sender, table *quarantine.Table, events *event.Logger) *crashDetector {
+	return &crashDetector{sender: sender, table: table, events: events, pending: make(map[replica.Record][]quarantine.Request)}
 }
 
 // runOf returns the fields of a record that identify one incarnation of a replica.
 func runOf(r replica.Record) replica.Record {
-	return replica.Record{ID: r.ID, Born: r.Born, Addr: r.Addr}
+	return replica.Record{ID: r.ID, Born: r.Born, Addr: r.Addr, Domain: r.Domain}
 }
 
 // broken records that a request broke off at a replica.
@@ -53,11 +53,11 @@
 	}
 }
 
-// check opens a connection to a replica at which requests broke off.
+// check checks whether a replica at which requests broke off can be reached.
 func (c *crashDetector) check(r replica.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	if c.isPending(r) && !c.pool.Reachable(ctx, r.Addr, r.ID) {
+	if c.isPending(r) && !c.sender.Reachable(ctx, r) {
 		c.unreachable(r)
 	}
 	c.take(r)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,8 @@
 	after string
 	// replica is the ID of the replica that was tried last.
 	replica string
+	// through is the host that passed the last attempt on; empty if this host sent it.
+	through string
 	// status is the status code that was sent; 0 if the connection was aborted.
 	status int
 	reason string
@@ -109,6 +111,9 @@
 	}
 	if x.attempts > 0 {
 		fields["replica"], fields["attempts"] = x.replica, x.attempts
+		if x.through != "" {
+			fields["through"] = x.through
+		}
 	}
 	if x.reason != "" {
 		fields["reason"] = x.reason
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
+	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/route"
 	"cowslipgw/internal/storelog"
@@ -157,10 +159,16 @@
 	go config.Run(ctx)
 	client := turns.NewClient(singleHost{}, nil, func() time.Duration { return 0 })
 	client.SetOwner(turns.NewOwner(peers.Host{ID: "self", Incarnation: incarnations.Add(1)}, gw.log, singleHost{}, 8, events))
+	pacer, quarantined := fleet.join(), fleet.newTable()
+	sender := relay.NewSender(fleet.lastHost(), forward.NewPoolWith(gw.links), forward.NewPool(), events)
+	go sender.Run(ctx)
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
-		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: fleet.join(), Quarantine: fleet.newTable(), Pool: forward.NewPoolWith(gw.links), Turns: client, Events: events,
+		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: pacer, Quarantine: quarantined, Sender: sender, Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway = g
+	relays := httptest.NewServer(g.RelayHandler())
+	t.Cleanup(relays.Close)
+	fleet.addRelay(strings.TrimPrefix(relays.URL, "http://"), sender.Stranded)
 	gw.entry = httptest.NewServer(g)
 	t.Cleanup(gw.entry.Close)
 	for config.Table() == nil {
@@ -174,6 +182,25 @@
 	hosts  []peers.Host
 	pacers map[string]*pacing.Pacer
 	tables []*quarantine.Table
+	// mu guards stranded and the relays of hosts, which join while others run.
+	mu       sync.Mutex
+	stranded map[string]func() bool
+}
+
+// addRelay sets the address of the host that joined last for requests of other hosts.
+func (f *testFleet) addRelay(addr string, stranded func() bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stranded == nil {
+		f.stranded = make(map[string]func() bool)
+	}
+	h := &f.hosts[len(f.hosts)-1]
+	h.Relay, f.stranded[h.ID] = addr, stranded
+}
+
+// lastHost returns the view of the host that joined last.
+func (f *testFleet) lastHost() fleetHost {
+	return fleetHost{singleHost{}, f, f.hosts[len(f.hosts)-1]}
 }
 
 // join adds a host and returns its client of the replicas' owners.
@@ -220,6 +247,19 @@
 	return []peers.Host{h.fleet.hosts[key%uint64(len(h.fleet.hosts))]}
 }
 
+// Relays implements relay.Hosts.
+func (h fleetHost) Relays(string, int) []peers.Host {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	var relays []peers.Host
+	for _, other := range h.fleet.hosts {
+		if other.ID != h.self.ID && other.Relay != "" && !h.fleet.stranded[other.ID]() {
+			relays = append(relays, other)
+		}
+	}
+	return relays
+}
+
 // newTestFleet returns the gateways of several hosts over one store with the same upstreams.
 func newTestFleet(t *testing.T, hosts int, upstreams ...http.HandlerFunc) []*testGateway {
 	t.Helper()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,11 +9,11 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cowslipgw/internal/event"
-	"cowslipgw/internal/forward"
 	"cowslipgw/internal/guard"
 	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
+	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/turns"
 )
@@ -32,7 +32,7 @@
 	costs    *quota.CostEstimator
 	replicas *replica.Set
 	pacing   *pacing.Client
-	pool     *forward.Pool
+	sender   *relay.Sender
 	turns    Turns
 	events   *event.Logger
 	// quarantine holds the requests that crash replicas, which crashes detects.
@@ -55,7 +55,7 @@
 	Costs    *quota.CostEstimator
 	Replicas *replica.Set
 	Pacing   *pacing.Client
-	Pool     *forward.Pool
+	Sender   *relay.Sender
 	Turns    Turns
 	// Quarantine holds the requests that crash replicas.
 	Quarantine *quarantine.Table
@@ -67,8 +67,8 @@
 // New returns a gateway that uses the given dependencies.
 func New(deps Dependencies) *Gateway {
 	return &Gateway{codec: deps.Codec, config: deps.Config, quota: deps.Quota, costs: deps.Costs, replicas: deps.Replicas, pacing: deps.Pacing,
-		pool: deps.Pool, turns: deps.Turns, events: deps.Events,
-		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Pool, deps.Quarantine, deps.Events),
+		sender: deps.Sender, turns: deps.Turns, events: deps.Events,
+		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -46,7 +46,7 @@
 		retry := x.route.Kind == route.Safe && x.attempts < max(x.route.MaxAttempts, 1) && ctx.Err() == nil
 		switch {
 		case err != nil:
-			a.end(x.failureResult(ctx), 1)
+			a.end(x.failureResult(ctx, a.lease.Record()), 1)
 			if isBroken(err) && ctx.Err() == nil {
 				x.breakOff(a.lease.Record())
 			}
@@ -71,11 +71,11 @@
 }
 
 // failureResult returns the result to report for an attempt whose answer failed.
-func (x *exchange) failureResult(ctx context.Context) replica.Result {
+func (x *exchange) failureResult(ctx context.Context, r replica.Record) replica.Result {
 	if ctx.Err() != nil {
 		return replica.Abandoned
 	}
-	return replica.Broken
+	return x.brokenResult(r, replica.Broken)
 }
 
 // readAnswer reads a whole answer. It fails if the answer is unsigned, encoded, truncated
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"cowslipgw/internal/boottime"
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/forward"
+	"cowslipgw/internal/guard"
+	"cowslipgw/internal/relay"
+	"cowslipgw/internal/replica"
+)
+
+// maxRelayedBody is the largest body of a request that is passed on for another host: the history
+// of a program and its new input.
+const maxRelayedBody = 16 << 20
+
+// RelayHandler returns the handler for requests that other hosts cannot send to replicas
+// themselves. They have admitted the request and chosen the replica.
+func (g *Gateway) RelayHandler() http.Handler { return http.HandlerFunc(g.serveRelay) }
+
+// serveRelay passes one request of another host on.
+func (g *Gateway) serveRelay(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	defer func() {
+		if cause := recover(); cause != nil {
+			if cause != http.ErrAbortHandler {
+				guard.Log(g.events, "request of another host", cause)
+			}
+			panic(http.ErrAbortHandler)
+		}
+	}()
+	asked := boottime.Now()
+	received, ok := relay.Decode(r.Header)
+	if !ok {
+		replyOutcome(w, relay.Declined)
+		return
+	}
+	record, ok := g.replicas.Usable(received.Replica, received.Incarnation)
+	switch {
+	case !ok:
+		g.events.Log(event.RelayDeclined, event.Fields{"request": received.ID, "replica": received.Replica})
+		replyOutcome(w, relay.Declined)
+	case received.Check:
+		replyOutcome(w, g.checkLink(r.Context(), record))
+	default:
+		g.relayRequest(w, r, received, record, asked)
+	}
+}
+
+// checkLink reports whether this host reaches a replica.
+func (g *Gateway) checkLink(ctx context.Context, record replica.Record) relay.Outcome {
+	if g.sender.ReachableDirect(ctx, record) {
+		return relay.Reachable
+	}
+	return relay.Unreachable
+}
+
+// relayRequest sends a request of another host to a replica and passes the answer back.
+func (g *Gateway) relayRequest(w http.ResponseWriter, r *http.Request, received relay.Received, record replica.Record, asked boottime.Instant) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayedBody))
+	// A host that was paused meanwhile must not send what is no longer wanted.
+	remaining := received.Remaining - boottime.Since(asked)
+	if err != nil || remaining < minAttemptTime {
+		replyOutcome(w, relay.Declined)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), remaining)
+	defer cancel()
+	header := EndToEnd(r.Header)
+	relay.RemoveHeaders(header)
+	request := &relay.Request{ID: received.ID, Replica: record, Deadline: time.Now().Add(remaining),
+		Request: forward.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header,
+			Body: [][]byte{body}, HasBody: r.ContentLength >= 0 && r.Header.Get("Content-Length") != ""}}
+	answer, err := g.sender.SendDirect(ctx, request, func(_ int, h http.Header) bool {
+		return g.isAnswerTo(received.ID, h)
+	})
+	if err != nil {
+		replyOutcome(w, relay.OutcomeOf(err))
+		return
+	}
+	defer answer.Close()
+	copyAnswer(w, answer)
+}
+
+// replyOutcome tells another host that there is no answer of the replica.
+func replyOutcome(w http.ResponseWriter, o relay.Outcome) {
+	o.Set(w.Header())
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// copyAnswer passes the answer of a replica to another host as it arrives. If it ends early, the
+// connection is aborted.
+func copyAnswer(w http.ResponseWriter, answer *forward.Answer) {
+	h := w.Header()
+	for name, values := range EndToEnd(answer.Header) {
+		h[name] = values
+	}
+	if length := answer.Header.Get("Content-Length"); length != "" {
+		h.Set("Content-Length", length)
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, set := h[name]; !set {
+			h[name] = nil // prevents net/http from adding it
+		}
+	}
+	relay.Answered.Set(h)
+	w.WriteHeader(answer.Status)
+	flusher := http.NewResponseController(w)
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil || flusher.Flush() != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		switch {
+		case err == io.EOF:
+			return
+		case err != nil:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,7 +53,7 @@
 			x.completed()
 			break
 		}
-		a.end(replica.Broken, s.count)
+		a.end(x.brokenResult(a.lease.Record(), replica.Broken), s.count)
 		if isBroken(err) && ctx.Err() == nil {
 			x.breakOff(a.lease.Record())
 		}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -102,7 +102,7 @@
 	content, err := x.readAnswer(a)
 	t.close(streamResult{})
 	if err != nil {
-		a.end(x.failureResult(ctx), 1)
+		a.end(x.failureResult(ctx, a.lease.Record()), 1)
 		x.fail(ctx, err)
 		return
 	}
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -12,6 +12,9 @@
 	// Overloaded is set if the host lacks processor time, so that other hosts should own
 	// its partitions and serve its callers.
 	Overloaded bool `cbor:"6,keyasint,omitempty"`
+	// Stranded is set if the host has lost its links to all replicas, so that other hosts should
+	// serve its callers.
+	Stranded bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Heartbeat is the message that hosts exchange. Each one proves that its sender is alive.
--- a/internal/peers/host.go
+++ b/internal/peers/host.go
@@ -15,6 +15,9 @@
 	// Cores is the processor time that the host may use, in cores. It is the host's weight
 	// when owners of keys and entries for callers are chosen.
 	Cores float64 `cbor:"6,keyasint,omitempty"`
+	// Relay is the address for requests that other hosts cannot send to replicas themselves;
+	// empty if the host passes none on.
+	Relay string `cbor:"7,keyasint,omitempty"`
 }
 
 // weight returns the host's relative share of the work. A host that does not report its
--- a/internal/peers/table.go
+++ b/internal/peers/table.go
@@ -21,7 +21,9 @@
 	storeHealthy func() bool
 	// overloaded reports whether this host lacks processor time.
 	overloaded func() bool
-	now        func() boottime.Instant
+	// stranded reports whether this host has lost its links to all replicas.
+	stranded func() bool
+	now      func() boottime.Instant
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -47,13 +49,17 @@
 // whether this host reaches the store.
 func NewTable(self Host, storeHealthy func() bool) *Table {
 	return &Table{self: self, storeHealthy: storeHealthy, members: make(map[string]*member),
-		overloaded: func() bool { return false }, now: boottime.Now}
+		overloaded: func() bool { return false }, stranded: func() bool { return false }, now: boottime.Now}
 }
 
 // SetOverloaded sets the function that reports whether this host lacks processor time. It
 // must be called before the table is used.
 func (t *Table) SetOverloaded(overloaded func() bool) { t.overloaded = overloaded }
 
+// SetStranded sets the function that reports whether this host has lost its links to all
+// replicas. It must be called before the table is used.
+func (t *Table) SetStranded(stranded func() bool) { t.stranded = stranded }
+
 // Self returns this host.
 func (t *Table) Self() Host { return t.self }
 
@@ -79,7 +85,7 @@
 }
 
 func (t *Table) conditionLocked() Condition {
-	return Condition{StoreLost: !t.storeHealthy(), Overloaded: t.overloaded(), Leaving: t.leaving,
+	return Condition{StoreLost: !t.storeHealthy(), Overloaded: t.overloaded(), Stranded: t.stranded(), Leaving: t.leaving,
 		Serving: t.serving && !t.leaving}
 }
 
--- /dev/null
+++ b/internal/relay/link.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"time"
+
+	"cowslipgw/internal/replica"
+)
+
+// unconfirmedLoss is how long a link counts as lost without another host that reaches the replica.
+const unconfirmedLoss = time.Second
+
+// link is what this host knows of its own link to the address of a replica.
+type link struct {
+	// record is that of the replica which last used the address.
+	record replica.Record
+	// heardAt is when the replica last answered or accepted a connection.
+	heardAt time.Time
+	// lost is set if no connection could be opened, and confirmed if another host has reached the
+	// replica since then.
+	lost, confirmed bool
+	// lostAt is when the link was lost.
+	lostAt time.Time
+	// usedAt is when a request for the replica last came, probedAt when the lost link was last
+	// probed.
+	usedAt, probedAt time.Time
+	// check is the check in progress; nil if there is none.
+	check *check
+}
+
+// isLost reports whether the link must not be used.
+func (l *link) isLost(now time.Time) bool {
+	return l.confirmed || (l.lost && now.Sub(l.lostAt) < unconfirmedLoss)
+}
+
+// check is an attempt to open a connection over a link. Its result is valid once done is closed.
+type check struct {
+	done chan struct{}
+	ok   bool
+}
+
+// condition is how a link may be used.
+type condition uint8
+
+const (
+	// usable links can be used.
+	usable condition = iota
+	// doubtful links must be checked first.
+	doubtful
+	// unusable links are lost.
+	unusable
+)
--- /dev/null
+++ b/internal/relay/sender.go
@@ -0,0 +1,120 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"cowslipgw/internal/event"
+	"cowslipgw/internal/forward"
+	"cowslipgw/internal/replica"
+)
+
+// checkTimeout limits opening a connection to find out whether a link is lost. The network delay
+// to a replica is one to three milliseconds.
+const checkTimeout = 100 * time.Millisecond
+
+// Matches reports whether an answer belongs to a request; see forward.Pool.Send.
+type Matches = func(status int, h http.Header) bool
+
+// Sender sends requests to replicas, over the host's own links or through other hosts. Its methods
+// are safe for concurrent use.
+type Sender struct {
+	hosts Hosts
+	// pool has the connections to replicas, and hostPool those to other hosts.
+	pool     *forward.Pool
+	hostPool *forward.Pool
+	links    *links
+	watch    watch
+	events   *event.Logger
+}
+
+// NewSender returns a sender that uses the given connections to replicas and to other hosts.
+func NewSender(hosts Hosts, pool, hostPool *forward.Pool, events *event.Logger) *Sender {
+	return &Sender{hosts: hosts, pool: pool, hostPool: hostPool, links: newLinks(events), events: events}
+}
+
+// Stranded reports whether this host seems to have lost its own links to all replicas.
+func (s *Sender) Stranded() bool { return s.links.isStranded() }
+
+// LinkLost reports whether this host's own link to a replica is lost although another host reaches
+// the replica.
+func (s *Sender) LinkLost(r replica.Record) bool { return s.links.isLost(r.Addr) }
+
+// Send sends a request to a replica and returns the answer once its headers have arrived, as
+// forward.Pool.Send does. While the host's own link to the replica is lost, another host passes
+// the request on. Through is the ID of that host.
+func (s *Sender) Send(ctx context.Context, r *Request, matches Matches) (answer *forward.Answer, through string, err error) {
+	answer, err = s.SendDirect(ctx, r, matches)
+	if !errors.Is(err, forward.ErrUnreachable) || ctx.Err() != nil {
+		return answer, "", err
+	}
+	return s.sendThrough(ctx, r, matches)
+}
+
+// SendDirect is Send over the host's own link only. It returns forward.ErrUnreachable if the link
+// is lost.
+func (s *Sender) SendDirect(ctx context.Context, r *Request, matches Matches) (*forward.Answer, error) {
+	addr := r.Replica.Addr
+	if !s.ready(ctx, r.Replica) {
+		return nil, forward.ErrUnreachable
+	}
+	request := r.Request
+	request.Addr, request.Instance = addr, r.Replica.ID
+	answer, err := s.pool.Send(ctx, &request, matches)
+	switch {
+	case err == nil || errors.Is(err, forward.ErrInvalidAnswer):
+		s.links.heard(addr, time.Now())
+	case errors.Is(err, forward.ErrUnreachable) && ctx.Err() == nil:
+		s.links.failed(addr, time.Now())
+	}
+	return answer, err
+}
+
+// Reachable reports whether a replica accepts a connection from this host or from another one. It
+// also does if this host is stranded and no other one answers: then nothing is known of the
+// replica.
+func (s *Sender) Reachable(ctx context.Context, r replica.Record) bool {
+	if s.ReachableDirect(ctx, r) {
+		return true
+	}
+	return s.reachableThrough(ctx, r)
+}
+
+// ReachableDirect reports whether a replica accepts a connection from this host.
+func (s *Sender) ReachableDirect(ctx context.Context, r replica.Record) bool {
+	return s.links.use(r, time.Now()) != unusable && s.check(ctx, r)
+}
+
+// ready reports whether the link to a replica can be used. If it is in doubt, it is checked first.
+func (s *Sender) ready(ctx context.Context, r replica.Record) bool {
+	switch s.links.use(r, time.Now()) {
+	case usable:
+		return true
+	case doubtful:
+		return s.check(ctx, r)
+	default:
+		return false
+	}
+}
+
+// check opens a connection over a link, which is kept, unless a check is in progress already. It
+// reports whether that worked.
+func (s *Sender) check(ctx context.Context, r replica.Record) bool {
+	c, isNew := s.links.beginCheck(r.Addr)
+	if isNew {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+			defer cancel()
+			ok := s.pool.Reachable(ctx, r.Addr, r.ID)
+			s.links.endCheck(r.Addr, c, ok, time.Now())
+		}()
+	}
+	select {
+	case <-c.done:
+		return c.ok
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -38,6 +38,9 @@
 	Unreachable
 	// NotSent means that the attempt was not begun.
 	NotSent
+	// LinkLost means that this host lost its own link to the replica, which says nothing about
+	// the replica.
+	LinkLost
 	// Abandoned means that the caller disconnected or the deadline passed, which may not
 	// be the replica's fault.
 	Abandoned
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -138,3 +138,15 @@
 		s.rebuildIndexLocked()
 	}
 }
+
+// Usable returns the record of an incarnation of a replica. It reports false if there is none or
+// the replica gets no new requests.
+func (s *Set) Usable(id string, incarnation int64) (Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.byID[id]
+	if r == nil || r.record.Born != incarnation || !s.feasible(r, Query{}, time.Now()) {
+		return Record{}, false
+	}
+	return r.record, true
+}
