--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -100,8 +100,9 @@
 	source    *configSource
 	replicas  *replica.Set
 	upstreams []*httptest.Server
-	// links are the host's links to the upstreams.
-	links *cuttableLinks
+	// links are the host's links to the upstreams, which sender uses.
+	links  *cuttableLinks
+	sender *relay.Sender
 }
 
 // addUpstream starts an upstream and registers it as a replica of service s.
@@ -165,7 +166,7 @@
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
 		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: pacer, Quarantine: quarantined, Sender: sender, Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
-	gw.gateway = g
+	gw.gateway, gw.sender = g, sender
 	relays := httptest.NewServer(g.RelayHandler())
 	t.Cleanup(relays.Close)
 	fleet.addRelay(strings.TrimPrefix(relays.URL, "http://"), sender.Stranded)
