--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -146,6 +146,9 @@
 	if info.RateLimit != nil && (info.RateLimit.Limited || info.Signed) {
 		lease.RateLimit(*info.RateLimit)
 	}
+	if info.Leaving && answer.Status != http.StatusMisdirectedRequest {
+		lease.Leaving()
+	}
 	a := &attempt{lease: lease, answer: answer, info: info, cancel: func() { cancel(nil) }}
 	if info.NotExecuted || answer.Status == http.StatusMisdirectedRequest {
 		drain(answer)
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -32,6 +32,8 @@
 	Load *replica.Load
 	// RateLimit is nil if the answer does not say whether the replica has one.
 	RateLimit *replica.RateLimit
+	// Leaving is set if the replica says that it is about to end and wants no new requests.
+	Leaving bool
 }
 
 // Codec translates between the wire format and the gateway's types.
