--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -49,7 +49,7 @@
 
 func (codec) Answer(h http.Header) gateway.AnswerInfo {
 	info := gateway.AnswerInfo{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Run") != "",
-		RateLimit: &replica.RateLimit{}}
+		RateLimit: &replica.RateLimit{}, Leaving: h.Get("Leaving") == "1"}
 	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		info.RateLimit = &replica.RateLimit{Limited: true, PerSecond: perSecond}
 	}
