Send nothing new to replicas that say they are leaving

Cause: nothing read the header; the record in the store was the only source, and the store was slow or silent. Class: a fact about a replica that is known on one path.

An incarnation that says so is remembered apart from its record, so that a renewed, removed or repeated record does not undo it; only a new incarnation is used again. The first host that is told tells all others at once, and repeats it every 2 s for those that have started. A host that passes a request on for another one learns it from the answer as well, and declines requests for such a replica.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -62,6 +63,11 @@
 	preloadInterval = time.Second
 	// quarantineCheckInterval is how often the host checks whether it must repeat a notice.
 	quarantineCheckInterval = 200 * time.Millisecond
+	// leavingInterval is how often the host repeats which replicas are leaving, for hosts that have
+	// started or were cut off.
+	leavingInterval = 2 * time.Second
+	// maxLeavingPerNotice keeps a notice below the size of a datagram.
+	maxLeavingPerNotice = 32
 	// preloadDelay is the time in which a new host receives heartbeats from all
 	// others.
 	preloadDelay = 1500 * time.Millisecond
@@ -88,6 +94,7 @@
 	quarantine *quarantine.Table
 	config     *gateway.ConfigWatcher
 	discovery  *gateway.Discovery
+	replicas   *replica.Set
 	pool       *forward.Pool
 	hostPool   *forward.Pool
 	sender     *relay.Sender
@@ -129,6 +136,7 @@
 		for _, limit := range b.Limits {
 			replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
 		}
+		replicas.LearnLeaving(leavingOf(b.Notice))
 		p.quarantine.Receive(b.Host.ID, b.Notice)
 	}, events)
 	if err != nil {
@@ -137,6 +145,8 @@
 	replicas.OnLimit(func(r replica.Record, perSecond float64) {
 		p.beacon.Broadcast(peers.Notice{Limits: []peers.ReplicaLimit{{Replica: r.ID, Incarnation: r.Born, PerSecond: perSecond}}})
 	})
+	p.replicas = replicas
+	replicas.OnLeaving(p.announceLeaving)
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
 		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
@@ -210,11 +220,32 @@
 	go every(ctx, sweepInterval, p.pool.Sweep)
 	go every(ctx, sweepInterval, p.hostPool.Sweep)
 	go every(ctx, quarantineCheckInterval, p.quarantine.Repeat)
+	go every(ctx, leavingInterval, func() { p.announceLeaving(p.replicas.ToldLeaving()) })
 	go p.preload(ctx)
 	go every(ctx, servingCheckInterval, func() { p.table.SetServing(p.ready()) })
 	go p.handleReloads(ctx)
 }
 
+// announceLeaving tells all other hosts which replicas are about to end.
+func (p *gatewayProcess) announceLeaving(leaving []replica.Incarnation) {
+	for part := range slices.Chunk(leaving, maxLeavingPerNotice) {
+		runs := make([]peers.ReplicaRun, len(part))
+		for n, i := range part {
+			runs[n] = peers.ReplicaRun{Replica: i.ID, Incarnation: i.Born}
+		}
+		p.beacon.Broadcast(peers.Notice{Leaving: runs})
+	}
+}
+
+// leavingOf returns the replicas in a notice that are about to end.
+func leavingOf(n peers.Notice) []replica.Incarnation {
+	leaving := make([]replica.Incarnation, len(n.Leaving))
+	for i, run := range n.Leaving {
+		leaving[i] = replica.Incarnation{ID: run.Replica, Born: run.Incarnation}
+	}
+	return leaving
+}
+
 // preload loads the partitions that may move to this host, once the other hosts are
 // known.
 func (p *gatewayProcess) preload(ctx context.Context) {
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -30,7 +30,7 @@
 	ReplicaAtLimit       = define(1745, logrus.InfoLevel, "replica accepts no more requests at present")
 	ReplicaCrashed       = define(1746, logrus.WarnLevel, "replica ended while it ran requests")
 	RequestQuarantined   = define(1747, logrus.WarnLevel, "request is refused because replicas end when they run it")
-	ReplicaLeaving       = define(1752, logrus.InfoLevel, "replica said in an answer that it is leaving")
+	ReplicaLeaving       = define(1752, logrus.InfoLevel, "replica is leaving, as it said in an answer or another host reports")
 	RelayDeclined        = define(1751, logrus.InfoLevel, "request of another host was not passed on because the replica gets no requests")
 	LinkLost             = define(1748, logrus.WarnLevel, "host lost its own link to a replica, which another host reaches")
 	LinkRegained         = define(1749, logrus.InfoLevel, "host reaches a replica over its own link again")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -146,9 +146,7 @@
 	if info.RateLimit != nil && (info.RateLimit.Limited || info.Signed) {
 		lease.RateLimit(*info.RateLimit)
 	}
-	if info.Leaving && answer.Status != http.StatusMisdirectedRequest {
-		lease.Leaving()
-	}
+	x.g.learnLeaving(record, info, answer.Status)
 	a := &attempt{lease: lease, answer: answer, info: info, cancel: func() { cancel(nil) }}
 	if info.NotExecuted || answer.Status == http.StatusMisdirectedRequest {
 		drain(answer)
@@ -164,6 +162,14 @@
 	return x.g.isAnswerTo(x.call.ID, h)
 }
 
+// learnLeaving records what an answer says of the end of the replica. An answer that the request
+// was misdirected comes from another replica.
+func (g *Gateway) learnLeaving(r replica.Record, info AnswerInfo, status int) {
+	if info.Leaving && status != http.StatusMisdirectedRequest {
+		g.replicas.Leaving(r)
+	}
+}
+
 // isAnswerTo reports whether an answer belongs to the request with the given ID.
 func (g *Gateway) isAnswerTo(id string, h http.Header) bool {
 	info := g.codec.Answer(h)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -167,6 +167,7 @@
 		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: pacer, Quarantine: quarantined, Sender: sender, Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway, gw.sender = g, sender
+	fleet.joinReplicas(gw.replicas)
 	relays := httptest.NewServer(g.RelayHandler())
 	t.Cleanup(relays.Close)
 	fleet.addRelay(strings.TrimPrefix(relays.URL, "http://"), sender.Stranded)
@@ -183,6 +184,7 @@
 	hosts  []peers.Host
 	pacers map[string]*pacing.Pacer
 	tables []*quarantine.Table
+	sets   []*replica.Set
 	// mu guards stranded and the relays of hosts, which join while others run.
 	mu       sync.Mutex
 	stranded map[string]func() bool
@@ -215,6 +217,19 @@
 	return pacing.NewClient(fleetHost{singleHost{}, f, host}, f, pacer)
 }
 
+// joinReplicas lets the host that joined last exchange which replicas are leaving.
+func (f *testFleet) joinReplicas(set *replica.Set) {
+	self := len(f.sets)
+	f.sets = append(f.sets, set)
+	set.OnLeaving(func(leaving []replica.Incarnation) {
+		for other, set := range f.sets {
+			if other != self {
+				set.LearnLeaving(leaving)
+			}
+		}
+	})
+}
+
 // newTable returns the table of quarantined requests of the host that joined last.
 func (f *testFleet) newTable() *quarantine.Table {
 	self := len(f.hosts) - 1
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -84,6 +84,7 @@
 		return
 	}
 	defer answer.Close()
+	g.learnLeaving(record, g.codec.Answer(answer.Header), answer.Status)
 	copyAnswer(w, answer)
 }
 
--- a/internal/peers/notice.go
+++ b/internal/peers/notice.go
@@ -10,11 +10,13 @@
 	Completed []RequestDigest `cbor:"12,keyasint,omitempty"`
 	// Quarantined are requests that no replica may run.
 	Quarantined []Quarantine `cbor:"13,keyasint,omitempty"`
+	// Leaving are replicas that told the sender that they are about to end.
+	Leaving []ReplicaRun `cbor:"15,keyasint,omitempty"`
 }
 
 // isEmpty reports whether the notice has no part.
 func (n Notice) isEmpty() bool {
-	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined) == 0
+	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined)+len(n.Leaving) == 0
 }
 
 // ReplicaLimit is the rate of requests that a replica accepts from all hosts together.
@@ -25,6 +27,13 @@
 	PerSecond   float64
 }
 
+// ReplicaRun is one incarnation of a replica.
+type ReplicaRun struct {
+	_           struct{} `cbor:",toarray"`
+	Replica     string
+	Incarnation int64
+}
+
 // RequestDigest identifies a request and its repetitions.
 type RequestDigest [16]byte
 
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -138,7 +138,7 @@
 	if q.Only != "" {
 		return r.record.ID == q.Only
 	}
-	return !r.record.Draining && !q.Exclude[r.record.ID]
+	return !r.record.Draining && !s.isLeavingLocked(r.record) && !q.Exclude[r.record.ID]
 }
 
 // score estimates the latency of the attempt at a replica as a multiple of the baseline.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,8 +51,6 @@
 	// Meanwhile it gets one request at a time.
 	probing bool
 	limit   limitState
-	// leaving is set once an answer has said that the replica is about to end.
-	leaving bool
 	// removeAt is the time at which a replica without a record is removed; it is zero while
 	// the replica has one.
 	removeAt time.Time
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 )
 
@@ -13,6 +14,8 @@
 	events *event.Logger
 	// onLimit is called without the mutex; nil for none.
 	onLimit func(record Record, perSecond float64)
+	// onLeaving is called without the mutex; nil for none.
+	onLeaving func([]Incarnation)
 
 	mu        sync.Mutex
 	byID      map[string]*Replica
@@ -20,13 +23,15 @@
 	baselines map[string]*baseline
 	// sizes holds the sizes of requests by service.
 	sizes map[string]*sizes
+	// leaving holds the incarnations that are about to end.
+	leaving map[Incarnation]*leavingState
 }
 
 // NewSet returns an empty set for a host in the given failure domain.
 func NewSet(domain string, events *event.Logger) *Set {
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
 		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
-		sizes: make(map[string]*sizes)}
+		sizes: make(map[string]*sizes), leaving: make(map[Incarnation]*leavingState)}
 }
 
 // Put adds a replica or updates its record. A record of another incarnation, address or
@@ -125,6 +130,7 @@
 func (s *Set) Sweep() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sweepLeavingLocked(boottime.Now())
 	now := time.Now()
 	changed := false
 	for id, r := range s.byID {
