Answer requests whose stream fails before anything was sent

The host then aborted the caller's connection although it had sent nothing. The old test hits that when its handler starts a little late, so that 5 ms are left for an attempt. Ruled out: the time limits of the caller's connection (plain routes and silent replicas always answer).

Such a request gets a whole 502, or 504 at its deadline, without the replica's headers.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -49,6 +49,8 @@
 	replica string
 	// through is the host that passed the last attempt on; empty if this host sent it.
 	through string
+	// headSent is set once the head of a stream was sent to the caller.
+	headSent bool
 	// status is the status code that was sent; 0 if the connection was aborted.
 	status int
 	reason string
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -112,6 +112,16 @@
 	}
 }
 
+// dropHeader removes what copyHeader copied from an answer that is not passed on.
+func (x *exchange) dropHeader() {
+	h := x.w.Header()
+	closing := h.Get("Connection")
+	clear(h)
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+}
+
 // writeAnswer sends a buffered answer to the caller.
 func (x *exchange) writeAnswer(a *forward.Answer, content []byte) {
 	x.copyHeader(a)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,7 +35,8 @@
 
 // stream forwards complete events as they arrive. Only the end of the stream is delayed
 // until the turn is stored; t is nil if the route stores none. If the upstream's stream
-// ends early and cannot be resumed, the caller's connection is aborted.
+// ends early and cannot be resumed, the caller gets an error if it was sent nothing yet;
+// otherwise its connection is aborted.
 func (x *exchange) stream(ctx context.Context, a *attempt, body [][]byte, q replica.Query, t *turn) {
 	x.copyHeader(a.answer)
 	x.w.Header().Del("Content-Length")
@@ -65,13 +66,27 @@
 			}
 		}
 		t.close(streamResult{events: min(s.count, t.maxEvents())})
-		x.abort("replica stream ended early")
+		x.endEarly(ctx, "replica stream ended early")
+		return
 	}
 	if !t.complete(ctx, streamResult{output: s.data, events: s.count}) {
-		x.abort("turn was not stored in time")
+		x.endEarly(ctx, "turn was not stored in time")
 	}
 }
 
+// endEarly ends a stream that cannot be completed.
+func (x *exchange) endEarly(ctx context.Context, reason string) {
+	if x.headSent {
+		x.abort(reason)
+	}
+	x.dropHeader()
+	status := http.StatusBadGateway
+	if ctx.Err() != nil {
+		status = http.StatusGatewayTimeout
+	}
+	x.refuse(refusal{status: status, reason: reason})
+}
+
 // errCallerLeft is returned if the caller's connection cannot be written to.
 var errCallerLeft = errors.New("caller disconnected")
 
@@ -88,6 +103,7 @@
 			return errReservationExceeded
 		}
 		if len(complete) > 0 {
+			x.headSent = true
 			_, writeErr := x.w.Write(complete)
 			if writeErr == nil {
 				writeErr = flusher.Flush()
