Hold copies of a suspect request in other programs

A crash now holds such copies for up to 2 s at all hosts; the program in which the replica ended repeats the request and clears it if it completes, so that a harmless request costs its copies a short wait at most. TestCopiesInOtherProgramsWait.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
@@ -87,6 +89,9 @@
 func (x *exchange) digest() quarantine.Request {
 	if x.digests == nil {
 		q := quarantine.RequestOf(x.accountName(), x.call.Method, x.call.URI, x.body)
+		if x.call.Program != "" {
+			q.Program = xxhash.Sum64String(x.call.Program)
+		}
 		x.digests = &q
 	}
 	return *x.digests
--- a/internal/peers/notice.go
+++ b/internal/peers/notice.go
@@ -43,6 +43,8 @@
 	Request     RequestDigest
 	Replica     string
 	Incarnation int64
+	// Program identifies the program of the request; 0 if it belongs to none.
+	Program uint64
 }
 
 // Quarantine is a request that no replica may run for some time.
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -21,6 +21,8 @@
 	// request has another body each time. Frequent paths are recognised by requests that
 	// complete.
 	Path Digest
+	// Program identifies the program of the request; 0 if it belongs to none.
+	Program uint64
 }
 
 // RequestOf returns the digests of a request.
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -20,6 +20,8 @@
 	crashed   map[replicaRun]struct{}
 	reporters map[string]struct{}
 	lastCrash boottime.Instant
+	// programs holds the programs of which the request was a part when replicas ended.
+	programs map[uint64]struct{}
 	// until is the end of the last quarantine, and length its length.
 	until  boottime.Instant
 	length time.Duration
@@ -28,20 +30,33 @@
 }
 
 func newSuspect(now boottime.Instant) *suspect {
-	return &suspect{crashed: make(map[replicaRun]struct{}), reporters: make(map[string]struct{}), lastCrash: now}
+	return &suspect{crashed: make(map[replicaRun]struct{}), reporters: make(map[string]struct{}),
+		programs: make(map[uint64]struct{}), lastCrash: now}
 }
 
 // add records a crash. Beyond what quarantines the request, crashes need not be told apart.
-func (s *suspect) add(host string, replica replicaRun, now boottime.Instant) {
+func (s *suspect) add(host string, replica replicaRun, program uint64, now boottime.Instant) {
 	if len(s.crashed) <= crashThreshold {
 		s.crashed[replica] = struct{}{}
 	}
 	if len(s.reporters) <= minReporters {
 		s.reporters[host] = struct{}{}
 	}
+	if program != 0 && len(s.programs) <= crashThreshold {
+		s.programs[program] = struct{}{}
+	}
 	s.lastCrash = now
 }
 
+// hold returns how long a copy of the request in another program must wait: the program in which
+// the replica ended repeats the request, and shows whether it is the cause.
+func (s *suspect) hold(d Digest, program uint64, now boottime.Instant) time.Duration {
+	if _, isOwn := s.programs[program]; isOwn || program == 0 || len(s.programs) == 0 || !d.hasBody() {
+		return 0
+	}
+	return s.lastCrash.Add(copyHold).Sub(now)
+}
+
 // quarantine begins a quarantine and returns its length. Once that is over, one further crash
 // begins the next.
 func (s *suspect) quarantine(d Digest, now boottime.Instant) time.Duration {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -31,6 +31,9 @@
 	// repeatJitter the largest random addition, after which usually one host does so.
 	repeatInterval = time.Second
 	repeatJitter   = time.Second
+	// copyHold is how long after a crash copies of the request wait that other programs send. A
+	// program repeats a failed request within half a second.
+	copyHold = 2 * time.Second
 	// noticeLifetime is the time in which a notice may arrive that was sent before a request
 	// completed.
 	noticeLifetime = 3 * time.Second
@@ -77,7 +80,7 @@
 	var crashes []peers.Crash
 	for _, r := range requests {
 		for _, d := range r.digests() {
-			crash := peers.Crash{Request: peers.RequestDigest(d), Replica: replica, Incarnation: incarnation}
+			crash := peers.Crash{Request: peers.RequestDigest(d), Replica: replica, Incarnation: incarnation, Program: r.Program}
 			t.add(t.hosts.Self().ID, crash)
 			crashes = append(crashes, crash)
 		}
@@ -112,7 +115,7 @@
 	now := t.now()
 	for _, d := range r.digests() {
 		if s := t.suspects[d]; s != nil {
-			remaining = max(remaining, s.until.Sub(now))
+			remaining = max(remaining, s.until.Sub(now), s.hold(d, r.Program, now))
 		}
 	}
 	if remaining <= 0 {
@@ -218,7 +221,7 @@
 		return
 	}
 	now := t.now()
-	s.add(host, replicaRun{crash.Replica, crash.Incarnation}, now)
+	s.add(host, replicaRun{crash.Replica, crash.Incarnation}, crash.Program, now)
 	if s.until > now || len(s.crashed) < crashThreshold || len(s.reporters) < min(minReporters, alive) {
 		return
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -327,3 +327,30 @@
 	is.Equal(f.refusing(deadly), 0)
 	is.Equal(len(f.tables[0].cleared), 0)
 }
+
+// TestCopiesInOtherProgramsWait guards against copies of a request that go on ending replicas in
+// other programs while its own program tries it again, and against refusing that program.
+func TestCopiesInOtherProgramsWait(t *testing.T) {
+	is := is.New(t)
+	const hosts = 5
+	f := newTestFleet(hosts)
+	in := func(r Request, program uint64) Request {
+		r.Program = program
+		return r
+	}
+	f.crash(0, 1, in(deadly, 1))
+	is.Equal(f.refusing(in(deadly, 1)), 0) // the program repeats it
+	is.Equal(f.refusing(in(deadly, 2)), hosts)
+	is.Equal(f.refusing(deadly), 0) // belongs to no program
+	is.Equal(f.refusing(in(withBody("other"), 2)), 0)
+	f.tables[3].Completed(in(deadly, 1))
+	is.Equal(f.refusing(in(deadly, 2)), 0)
+	f.now = f.now.Add(noticeLifetime)
+	f.crash(1, 2, in(deadly, 1))
+	is.Equal(f.refusing(in(deadly, 2)), hosts)
+	f.now = f.now.Add(copyHold)
+	is.Equal(f.refusing(in(deadly, 2)), 0) // its program does not come back
+	f.crash(2, 3, deadly)
+	f.crash(2, 4, deadly)
+	is.Equal(f.refusing(in(deadly, 1)), hosts) // three replicas have ended
+}
