Preallocate several turns of a budget that has room for them

During an outage of the store programs were refused from its first second, also on routes that store no turns: each record let the owner grant one more turn, and the settlement of that turn could not be stored. While the store took 240 ms an answer, 47 of 100 turns waited 0.7 to 1.0 s for a record before they began (new fields begin_ms and store_ms of a request's last line): the first ones, those of sub-agents that run at the same time, and on routes without stored turns those that follow before the last settlement is stored.

Records now let the owner grant up to four largest turns, and at most a third of what remains of the budget, so that the loss of an owner still leaves most of it. Other owners count all of that as used, as before, so a budget cannot be exceeded. TestStaleOwnerDoesNotGrant demanded that the second turn after the record is refused in an outage; it now demands for 20 budgets that the owner grants no more than a third of the rest and four turns, and that both owners together stay within the budget, which is the bound that counts. TestProgramContinuesInOutage and TestSubAgentsBeginWithoutAppends failed before.

What remains on routes that store turns is the end of each turn: 0.48 s for its append, 0.25 s for the one under way.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -58,6 +58,9 @@
 	reason string
 	// detail is logged beside the reason and not sent to the caller.
 	detail string
+	// beginTime is how long the turn waited to begin, and storeTime how long its end waited
+	// until it was stored.
+	beginTime, storeTime time.Duration
 	// callerLeft is set if the caller closed its connection before the request ended.
 	callerLeft bool
 }
@@ -122,6 +125,9 @@
 			fields["through"] = x.through
 		}
 	}
+	if x.beginTime > 0 {
+		fields["begin_ms"], fields["store_ms"] = x.beginTime.Milliseconds(), x.storeTime.Milliseconds()
+	}
 	if x.reason != "" {
 		fields["reason"] = x.reason
 	}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -70,7 +70,9 @@
 	if x.route.StoresTurns {
 		t.record.Input = x.body
 	}
+	asked := time.Now()
 	begun, flattened := x.g.turns.Begin(ctx, args)
+	x.beginTime = time.Since(asked)
 	if f := x.g.refusalFor(begun.Outcome); f != nil {
 		if begun.Uncertain {
 			t.close(streamResult{})
@@ -158,6 +160,8 @@
 	t.record.State = turns.Ended
 	t.record.Output = s.output
 	t.record.Tokens = s.events * t.tokensPerEvent
+	ended := time.Now()
+	defer func() { t.x.storeTime = time.Since(ended) }()
 	select {
 	case <-t.settle():
 		return true
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -2,10 +2,15 @@
 
 import "maps"
 
-// minTurnsToPreallocate is the number of largest turns that must remain in a budget for
-// tokens to be preallocated. Below it, each turn gets a record before it begins, so that
-// the loss of an owner leaves nothing uncertain about the rest of the budget.
-const minTurnsToPreallocate = 3
+const (
+	// turnsPerPreallocated is the number of largest turns that must remain in a budget for each
+	// one that is preallocated. Below it, each turn gets a record before it begins, so that
+	// the loss of an owner leaves nothing uncertain about the rest of the budget.
+	turnsPerPreallocated = 3
+	// maxPreallocated is the largest number of turns that are preallocated: sub-agents run
+	// turns at the same time, and turns follow each other while the store is slow.
+	maxPreallocated = 4
+)
 
 // programKey identifies a program of a client account.
 type programKey struct{ account, program string }
@@ -102,15 +107,17 @@
 	return true
 }
 
-// nextPreallocation returns the preallocation for a record that is about to be written: one
-// largest turn beyond what is granted, so that the next turn of a sequence begins without
-// an append. What the loss of one owner leaves uncertain is then no more than may be
-// forgiven. Until the record is stored, the current preallocation is not raised.
+// nextPreallocation returns the preallocation for a record that is about to be written:
+// several largest turns beyond what is granted, so that the next turns of a program begin
+// without an append. It is a small part of what remains of the budget, since the loss of an
+// owner leaves uncertain whether it was used. Until the record is stored, the current
+// preallocation is not raised.
 func (g *program) nextPreallocation() int {
-	next := g.unrecordedTokens() + g.maxReservation
-	if g.budget > 0 && g.budget-g.used() < minTurnsToPreallocate*g.maxReservation {
-		next = g.unrecordedTokens()
+	turns := maxPreallocated
+	if g.budget > 0 && g.maxReservation > 0 {
+		turns = min(turns, max(g.budget-g.used(), 0)/g.maxReservation/turnsPerPreallocated)
 	}
+	next := g.unrecordedTokens() + turns*g.maxReservation
 	g.preallocation = min(g.preallocation, next)
 	return next
 }
