--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -171,7 +171,7 @@
 		{&http.Server{Handler: platform.NewReadiness(p.ready), ReadHeaderTimeout: headerTimeout}, p.settings.Readiness},
 		{&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
 			net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+metricsPort))},
-		{&http.Server{Handler: p.gateway.RelayHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}, p.table.Self().Relay},
+		{&http.Server{Handler: p.gateway.RelayHandler(p.table.IsHost), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}, p.table.Self().Relay},
 	}
 	if p.settings.Directory != "" {
 		directory := platform.NewDirectory(p.entryAddresses, min(resolveTTL, p.settings.ResolveTTL))
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -12,8 +12,8 @@
 
 const (
 	// dialTimeout limits opening a connection; the network delay to a replica is one or
-	// two milliseconds.
-	dialTimeout = 250 * time.Millisecond
+	// two milliseconds. Reads that wait for a first byte are given up later.
+	dialTimeout = 200 * time.Millisecond
 	// idleMargin is how long before the replica's idle timeout the pool stops using a
 	// connection, so that no request is sent while the replica closes it.
 	idleMargin = 500 * time.Millisecond
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -168,7 +168,7 @@
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway, gw.sender = g, sender
 	fleet.joinReplicas(gw.replicas)
-	relays := httptest.NewServer(g.RelayHandler())
+	relays := httptest.NewServer(g.RelayHandler(func(ip string) bool { return ip == "127.0.0.1" }))
 	t.Cleanup(relays.Close)
 	fleet.addRelay(strings.TrimPrefix(relays.URL, "http://"), sender.Stranded)
 	gw.entry = httptest.NewServer(g)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,8 +20,18 @@
 const maxRelayedBody = 16 << 20
 
 // RelayHandler returns the handler for requests that other hosts cannot send to replicas
-// themselves. They have admitted the request and chosen the replica.
-func (g *Gateway) RelayHandler() http.Handler { return http.HandlerFunc(g.serveRelay) }
+// themselves. They have admitted the request and chosen the replica, so isHost must tell the IP
+// addresses of hosts from those of callers.
+func (g *Gateway) RelayHandler(isHost func(ip string) bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ip, _, err := net.SplitHostPort(r.RemoteAddr); err != nil || !isHost(ip) {
+			g.events.Log(event.RelayStranger, event.Fields{"addr": r.RemoteAddr})
+			replyOutcome(w, relay.Declined)
+			return
+		}
+		g.serveRelay(w, r)
+	})
+}
 
 // serveRelay passes one request of another host on.
 func (g *Gateway) serveRelay(w http.ResponseWriter, r *http.Request) {
@@ -42,7 +53,7 @@
 	}
 	record, ok := g.replicas.Usable(received.Replica, received.Incarnation)
 	switch {
-	case !ok:
+	case !ok || g.sender.LinkLost(record):
 		g.events.Log(event.RelayDeclined, event.Fields{"request": received.ID, "replica": received.Replica})
 		replyOutcome(w, relay.Declined)
 	case received.Check:
--- a/internal/gateway/relay_fleet_test.go
+++ b/internal/gateway/relay_fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -183,3 +184,44 @@
 	is.True(got.complete)
 	is.Equal(got.body, want.String())
 }
+
+// TestStrangersRequestIsNotPassedOn guards against a caller that has a request run without a key
+// over the port for other hosts.
+func TestStrangersRequestIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	gw := newTestGateway(t, 0, echoing(&runs))
+	for name, isHost := range map[string]bool{"host": true, "stranger": false} {
+		server := httptest.NewServer(gw.gateway.RelayHandler(func(string) bool { return isHost }))
+		defer server.Close()
+		r, err := http.NewRequest(http.MethodPost, server.URL+"/unsafe/x", strings.NewReader("in"))
+		is.NoErr(err)
+		for _, field := range [][2]string{{"Id", name}, {"Relay-Request-Id", name}, {"Relay-Replica", "r0"}, {"Relay-Incarnation", "0"}, {"Relay-Remaining-Ms", "1000"}} {
+			r.Header.Set(field[0], field[1])
+		}
+		before := runs.Load()
+		answer, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		answer.Body.Close()
+		is.Equal(runs.Load() > before, isHost)
+	}
+}
+
+// TestHostWithoutLinkDeclines guards against a replica that is taken for down because the host
+// that was asked has lost its own link to it.
+func TestHostWithoutLinkDeclines(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	fleet := newTestFleet(t, 4, echoing(&runs), echoing(&runs))
+	for _, host := range fleet[:3] {
+		host.links.set(silentCut)
+	}
+	for n := 0; !fleet[0].sender.Stranded() || !fleet[1].sender.Stranded() || !fleet[2].sender.Stranded(); n++ {
+		for _, host := range fleet[:3] {
+			host.call(t, http.MethodPost, "/unsafe/x", "in", "Id", "warm"+strconv.Itoa(n), "Key", "k", "Patience", "1000")
+		}
+	}
+	for n, host := range fleet {
+		is.Equal(host.call(t, http.MethodPost, "/unsafe/x", "in", "Id", "after"+strconv.Itoa(n), "Key", "k").status, http.StatusOK)
+	}
+}
--- a/internal/peers/relays.go
+++ b/internal/peers/relays.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strings"
 )
 
 // relayCandidate is a host that can pass requests on, with its sort order.
@@ -14,6 +15,19 @@
 	order    uint64
 }
 
+// IsHost reports whether an IP address is that of a known host.
+func (t *Table) IsHost(ip string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	prefix := ip + ":"
+	for _, m := range t.members {
+		if strings.HasPrefix(m.host.Addr, prefix) {
+			return true
+		}
+	}
+	return strings.HasPrefix(t.self.Addr, prefix)
+}
+
 // Relays returns up to limit live hosts that can pass requests on to replicas in the given failure
 // domain, in order of preference. Overloaded and leaving hosts come last, and hosts in the domain
 // come first; the order is random otherwise.
--- a/internal/peers/relays_test.go
+++ b/internal/peers/relays_test.go
@@ -51,3 +51,16 @@
 	}
 	is.Equal(len(newRelayTable(12, func(n int) bool { return n < 9 }).Serving("")), 11) // one host is leaving
 }
+
+// TestIsHost guards against requests that are passed on for callers, and against hosts that are
+// taken for callers.
+func TestIsHost(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Host{ID: "0", Addr: "10.0.0.1:7"}, func() bool { return true })
+	table.HandleHeartbeat(Heartbeat{Host: Host{ID: "1", Incarnation: 1, Addr: "10.0.0.12:7"}})
+	is.True(table.IsHost("10.0.0.1"))
+	is.True(table.IsHost("10.0.0.12"))
+	is.True(!table.IsHost("10.0.0.2"))
+	is.True(!table.IsHost("10.0.0.120"))
+	is.True(!table.IsHost(""))
+}
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -86,6 +86,9 @@
 	defer l.mu.Unlock()
 	r := l.linkLocked(addr)
 	r.heardAt = now
+	if !r.lost && l.suspectedAt.IsZero() {
+		return
+	}
 	if r.confirmed {
 		l.events.Log(event.LinkRegained, event.Fields{"replica": r.record.ID, "addr": addr, "lost_ms": now.Sub(r.lostAt).Milliseconds()})
 	}
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -72,9 +72,8 @@
 	return answer, err
 }
 
-// Reachable reports whether a replica accepts a connection from this host or from another one. It
-// also does if this host is stranded and no other one answers: then nothing is known of the
-// replica.
+// Reachable reports whether a replica accepts a connection from this host or from another one, or
+// nothing is known of that because the hosts that were asked have lost their own links, too.
 func (s *Sender) Reachable(ctx context.Context, r replica.Record) bool {
 	if s.ReachableDirect(ctx, r) {
 		return true
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -75,10 +75,12 @@
 	})
 }
 
-// reachableThrough reports whether a replica accepts a connection from another host.
+// reachableThrough reports whether a replica accepts a connection from another host, or no host
+// knows that it does not.
 func (s *Sender) reachableThrough(ctx context.Context, r replica.Record) bool {
-	isDown := false
-	for _, h := range s.hosts.Relays(r.Domain, maxRelays) {
+	hosts := s.hosts.Relays(r.Domain, maxRelays)
+	isDown := len(hosts) == 0 && !s.links.isStranded()
+	for _, h := range hosts {
 		header := make(http.Header)
 		(&Request{Replica: r, Deadline: time.Now()}).encode(header)
 		header.Set(headerCheck, "1")
@@ -97,11 +99,10 @@
 			isDown = true
 		}
 	}
-	if !isDown && s.links.isStranded() {
-		return true
+	if isDown {
+		s.links.refute(r.Addr)
 	}
-	s.links.refute(r.Addr)
-	return false
+	return !isDown
 }
 
 // confirmLost records that another host reaches a replica. Idle connections over a lost link may
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -27,6 +27,8 @@
 	maxQuietChecks = 2
 	// quietAnswerLimit is how long an answer over a lost link may be quiet before it is given up.
 	quietAnswerLimit = 400 * time.Millisecond
+	// findLossTimeout limits the check of a quiet link, by this host and by others.
+	findLossTimeout = 400 * time.Millisecond
 	// probeInterval is the time between two checks of lost links, and maxProbes the number of links
 	// in each. A host without any working link checks one.
 	probeInterval = 250 * time.Millisecond
@@ -104,6 +106,8 @@
 
 // findLoss checks a link and, if it does not work, whether another host reaches the replica.
 func (s *Sender) findLoss(ctx context.Context, r replica.Record) {
+	ctx, cancel := context.WithTimeout(ctx, findLossTimeout)
+	defer cancel()
 	if !s.check(ctx, r) {
 		s.reachableThrough(ctx, r)
 	}
