--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -17,7 +17,7 @@
 	// replica is checked.
 	crashCheckDelay = 30 * time.Millisecond
 	// crashCheckTimeout limits the check.
-	crashCheckTimeout = 300 * time.Millisecond
+	crashCheckTimeout = 600 * time.Millisecond
 )
 
 // crashDetector tells crashes of replicas from other causes of broken connections: a crashed
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -57,20 +57,12 @@
 		g.events.Log(event.RelayDeclined, event.Fields{"request": received.ID, "replica": received.Replica})
 		replyOutcome(w, relay.Declined)
 	case received.Check:
-		replyOutcome(w, g.checkLink(r.Context(), record))
+		replyOutcome(w, g.sender.ReachableFor(r.Context(), record))
 	default:
 		g.relayRequest(w, r, received, record, asked)
 	}
 }
 
-// checkLink reports whether this host reaches a replica.
-func (g *Gateway) checkLink(ctx context.Context, record replica.Record) relay.Outcome {
-	if g.sender.ReachableDirect(ctx, record) {
-		return relay.Reachable
-	}
-	return relay.Unreachable
-}
-
 // relayRequest sends a request of another host to a replica and passes the answer back.
 func (g *Gateway) relayRequest(w http.ResponseWriter, r *http.Request, received relay.Received, record replica.Record, asked boottime.Instant) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayedBody))
@@ -87,11 +79,11 @@
 	request := &relay.Request{ID: received.ID, Replica: record, Deadline: time.Now().Add(remaining),
 		Request: forward.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header,
 			Body: [][]byte{body}, HasBody: r.ContentLength >= 0 && r.Header.Get("Content-Length") != ""}}
-	answer, err := g.sender.SendDirect(ctx, request, func(_ int, h http.Header) bool {
+	answer, outcome := g.sender.SendFor(ctx, request, func(_ int, h http.Header) bool {
 		return g.isAnswerTo(received.ID, h)
 	})
-	if err != nil {
-		replyOutcome(w, relay.OutcomeOf(err))
+	if outcome != relay.Answered {
+		replyOutcome(w, outcome)
 		return
 	}
 	defer answer.Close()
--- a/internal/gateway/relay_fleet_test.go
+++ b/internal/gateway/relay_fleet_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
 )
 
@@ -207,6 +208,27 @@
 	}
 }
 
+// TestCutHostSaysNothingOfReplicas guards against a replica that is taken for down because the host
+// that was asked has lost its own links and has not noticed yet.
+func TestCutHostSaysNothingOfReplicas(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	fleet := newTestFleet(t, 2, streaming(&runs), streaming(&runs), streaming(&runs))
+	for n := range warmUpCalls {
+		for _, host := range fleet {
+			is.Equal(callAll(t, host, "warm"+strconv.Itoa(n)), int64(0))
+		}
+	}
+	record, ok := fleet[1].replicas.Usable("r0", 0)
+	is.True(ok)
+	is.Equal(fleet[1].sender.ReachableFor(context.Background(), record), relay.Reachable)
+	fleet[1].links.set(silentCut)
+	is.Equal(fleet[1].sender.ReachableFor(context.Background(), record), relay.Declined)
+	fleet[1].links.set(uncut)
+	fleet[1].upstreams[0].Close()
+	is.Equal(fleet[1].sender.ReachableFor(context.Background(), record), relay.Unreachable)
+}
+
 // TestHostWithoutLinkDeclines guards against a replica that is taken for down because the host
 // that was asked has lost its own link to it.
 func TestHostWithoutLinkDeclines(t *testing.T) {
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -200,6 +200,23 @@
 	return l.linkLocked(addr).record
 }
 
+// lastHeardExcept returns the replica that was heard last over a link that is not lost, other than
+// the one at an address.
+func (l *links) lastHeardExcept(addr string) (record replica.Record, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best *link
+	for other, r := range l.byAddr {
+		if other != addr && !r.lost && !r.heardAt.IsZero() && (best == nil || r.heardAt.After(best.heardAt)) {
+			best = r
+		}
+	}
+	if best == nil {
+		return replica.Record{}, false
+	}
+	return best.record, true
+}
+
 // dueProbes returns the replicas of up to limit lost links, those first that were checked least
 // recently.
 func (l *links) dueProbes(limit int, now time.Time) []replica.Record {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -26,13 +26,11 @@
 	Invalid Outcome = "invalid"
 )
 
-// OutcomeOf returns the outcome for an error of Sender.SendDirect.
-func OutcomeOf(err error) Outcome {
+// outcomeOfError returns the outcome of an attempt over an open connection.
+func outcomeOfError(err error) Outcome {
 	switch {
 	case err == nil:
 		return Answered
-	case errors.Is(err, forward.ErrUnreachable):
-		return Unreachable
 	case errors.Is(err, forward.ErrInvalidAnswer):
 		return Invalid
 	default:
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -86,6 +86,35 @@
 	return s.links.use(r, time.Now()) != unusable && s.check(ctx, r)
 }
 
+// ReachableFor returns for another host whether a replica accepts a connection from this host.
+// Unreachable is said only if another replica does, so that not this host's own links are lost.
+func (s *Sender) ReachableFor(ctx context.Context, r replica.Record) Outcome {
+	if s.ReachableDirect(ctx, r) {
+		return Reachable
+	}
+	return s.failureFor(ctx, r)
+}
+
+// failureFor returns for another host why no connection to a replica could be opened.
+func (s *Sender) failureFor(ctx context.Context, r replica.Record) Outcome {
+	if s.links.isLost(r.Addr) {
+		return Declined
+	}
+	if other, ok := s.links.lastHeardExcept(r.Addr); ok && !s.check(ctx, other) {
+		return Declined
+	}
+	return Unreachable
+}
+
+// SendFor is SendDirect for another host.
+func (s *Sender) SendFor(ctx context.Context, r *Request, matches Matches) (*forward.Answer, Outcome) {
+	answer, err := s.SendDirect(ctx, r, matches)
+	if errors.Is(err, forward.ErrUnreachable) {
+		return nil, s.failureFor(ctx, r.Replica)
+	}
+	return answer, outcomeOfError(err)
+}
+
 // ready reports whether the link to a replica can be used. If it is in doubt, it is checked first.
 func (s *Sender) ready(ctx context.Context, r replica.Record) bool {
 	switch s.links.use(r, time.Now()) {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -28,7 +28,7 @@
 	// quietAnswerLimit is how long an answer over a lost link may be quiet before it is given up.
 	quietAnswerLimit = 400 * time.Millisecond
 	// findLossTimeout limits the check of a quiet link, by this host and by others.
-	findLossTimeout = 400 * time.Millisecond
+	findLossTimeout = 600 * time.Millisecond
 	// probeInterval is the time between two checks of lost links, and maxProbes the number of links
 	// in each. A host without any working link checks one.
 	probeInterval = 250 * time.Millisecond
