Keep notices of crashes readable for hosts of the build before

The program of a request was a fourth element of each crash in a notice. CBOR arrays of another length cannot be decoded, so during a rolling update hosts of either build dropped the whole datagram of the other (checked with three and four elements, both ways). The programs stand in a list of their own beside the crashes now, which earlier builds ignore.

--- a/internal/peers/notice.go
+++ b/internal/peers/notice.go
@@ -6,6 +6,9 @@
 	Limits []ReplicaLimit `cbor:"10,keyasint,omitempty"`
 	// Crashes are replicas that ended while they ran requests of the sender.
 	Crashes []Crash `cbor:"11,keyasint,omitempty"`
+	// CrashPrograms identifies the program of each request in Crashes, in the same order; 0 for a
+	// request that belongs to none. Hosts of earlier builds neither send nor read it.
+	CrashPrograms []uint64 `cbor:"16,keyasint,omitempty"`
 	// Completed are requests that a replica has run to the end although others crashed.
 	Completed []RequestDigest `cbor:"12,keyasint,omitempty"`
 	// Quarantined are requests that no replica may run.
@@ -19,6 +22,15 @@
 	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined)+len(n.Leaving) == 0
 }
 
+// CrashProgram returns the program of the request in Crashes with the given index, or 0 if it
+// belongs to none or the sender does not say so.
+func (n Notice) CrashProgram(index int) uint64 {
+	if index >= len(n.CrashPrograms) {
+		return 0
+	}
+	return n.CrashPrograms[index]
+}
+
 // ReplicaLimit is the rate of requests that a replica accepts from all hosts together.
 type ReplicaLimit struct {
 	_           struct{} `cbor:",toarray"`
@@ -43,8 +55,6 @@
 	Request     RequestDigest
 	Replica     string
 	Incarnation int64
-	// Program identifies the program of the request; 0 if it belongs to none.
-	Program uint64
 }
 
 // Quarantine is a request that no replica may run for some time.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -77,16 +77,17 @@
 
 // Crashed records that a replica ended while it ran the given requests of this host.
 func (t *Table) Crashed(replica string, incarnation int64, requests []Request) {
-	var crashes []peers.Crash
-	for _, r := range requests {
-		for _, d := range r.digests() {
-			crash := peers.Crash{Request: peers.RequestDigest(d), Replica: replica, Incarnation: incarnation, Program: r.Program}
-			t.add(t.hosts.Self().ID, crash)
-			crashes = append(crashes, crash)
+	for part := range slices.Chunk(requests, maxPerNotice/len(Request{}.digests())) {
+		var notice peers.Notice
+		for _, r := range part {
+			for _, d := range r.digests() {
+				crash := peers.Crash{Request: peers.RequestDigest(d), Replica: replica, Incarnation: incarnation}
+				t.add(t.hosts.Self().ID, crash, r.Program)
+				notice.Crashes = append(notice.Crashes, crash)
+				notice.CrashPrograms = append(notice.CrashPrograms, r.Program)
+			}
 		}
-	}
-	for part := range slices.Chunk(crashes, maxPerNotice) {
-		t.broadcast(peers.Notice{Crashes: part})
+		t.broadcast(notice)
 	}
 }
 
@@ -140,9 +141,9 @@
 
 // Receive applies a notice of another host.
 func (t *Table) Receive(host string, notice peers.Notice) {
-	for _, crash := range notice.Crashes {
+	for n, crash := range notice.Crashes {
 		if !t.wasCleared(Digest(crash.Request)) {
-			t.add(host, crash)
+			t.add(host, crash, notice.CrashProgram(n))
 		}
 	}
 	for _, d := range notice.Completed {
@@ -212,7 +213,7 @@
 
 // add records the crash of a replica under a request, as a host reports it, and quarantines the
 // request if it is one too many.
-func (t *Table) add(host string, crash peers.Crash) {
+func (t *Table) add(host string, crash peers.Crash, program uint64) {
 	_, alive := t.hosts.Counts()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -221,7 +222,7 @@
 		return
 	}
 	now := t.now()
-	s.add(host, replicaRun{crash.Replica, crash.Incarnation}, crash.Program, now)
+	s.add(host, replicaRun{crash.Replica, crash.Incarnation}, program, now)
 	if s.until > now || len(s.crashed) < crashThreshold || len(s.reporters) < min(minReporters, alive) {
 		return
 	}
