Give up quiet answers over lost links in one pass

Each quiet request over a lost link had all requests in flight searched again for its address. CloseQuiet takes the question which addresses are lost instead, and looks once. A flight's instance was never read; two methods of the sender were exported for nobody; link.isLost meant something else than links.isLost and is named isAvoided. No change of behaviour.

--- a/internal/forward/flight.go
+++ b/internal/forward/flight.go
@@ -7,8 +7,7 @@
 
 // Flight is a request whose answer is not complete.
 type Flight struct {
-	Addr     string
-	Instance string
+	Addr string
 	// QuietSince is when bytes last arrived on the connection, at the earliest the start of the
 	// request.
 	QuietSince time.Time
@@ -19,19 +18,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	flights = make([]Flight, 0, len(p.flights))
-	for c, t := range p.flights {
-		flights = append(flights, Flight{Addr: t.addr, Instance: t.instance, QuietSince: c.quietSince()})
+	for c, addr := range p.flights {
+		flights = append(flights, Flight{Addr: addr, QuietSince: c.quietSince()})
 	}
 	return flights, processStart.Add(time.Duration(p.lastRead.Load()))
 }
 
-// CloseQuiet closes the connections to an address on which a request has been in flight without
+// CloseQuiet closes the connections to lost addresses on which a request has been in flight without
 // any byte since before the given time.
-func (p *Pool) CloseQuiet(addr string, before time.Time) {
+func (p *Pool) CloseQuiet(before time.Time, isLost func(addr string) bool) {
 	p.mu.Lock()
 	var quiet []*conn
-	for c, t := range p.flights {
-		if t.addr == addr && c.quietSince().Before(before) {
+	for c, addr := range p.flights {
+		if c.quietSince().Before(before) && isLost(addr) {
 			quiet = append(quiet, c)
 		}
 	}
@@ -62,7 +61,7 @@
 	c.lastRead.Store(int64(time.Since(processStart)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.flights[c] = t
+	p.flights[c] = t.addr
 }
 
 // end records that the answer was read or given up.
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -31,8 +31,8 @@
 	dialer Dialer
 	mu     sync.Mutex
 	idle   map[target][]*conn
-	// flights holds the connections with a request in flight.
-	flights map[*conn]target
+	// flights holds the addresses of the connections with a request in flight.
+	flights map[*conn]string
 	// lastRead is the time since processStart at which bytes of any replica last arrived.
 	lastRead atomic.Int64
 }
@@ -50,7 +50,7 @@
 
 // NewPoolWith returns an empty pool that opens connections with dialer.
 func NewPoolWith(dialer Dialer) *Pool {
-	return &Pool{dialer: dialer, idle: make(map[target][]*conn), flights: make(map[*conn]target)}
+	return &Pool{dialer: dialer, idle: make(map[target][]*conn), flights: make(map[*conn]string)}
 }
 
 // get returns a usable idle connection, or opens one.
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -27,8 +27,8 @@
 	check *check
 }
 
-// isLost reports whether the link must not be used.
-func (l *link) isLost(now time.Time) bool {
+// isAvoided reports whether the link must not be used: it is lost, or a connection has just failed.
+func (l *link) isAvoided(now time.Time) bool {
 	return l.confirmed || (l.lost && now.Sub(l.lostAt) < unconfirmedLoss)
 }
 
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -22,7 +22,7 @@
 var linksLost = metrics.NewCounter("cowslipgw_upstream_links_lost_total")
 
 // links holds the state of this host's links to replicas by address. Its methods are safe for
-// concurrent use.
+// concurrent use. Lock order: the mutex of forward.Pool, mu.
 type links struct {
 	events *event.Logger
 
@@ -71,7 +71,7 @@
 	r := l.linkLocked(record.Addr)
 	r.usedAt, r.record = now, record
 	switch {
-	case r.isLost(now) || l.stranded:
+	case r.isAvoided(now) || l.stranded:
 		return unusable
 	case !l.suspectedAt.IsZero() && !r.heardAt.After(l.suspectedAt):
 		return doubtful
@@ -100,7 +100,7 @@
 func (l *links) failed(addr string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r := l.linkLocked(addr); !r.isLost(now) {
+	if r := l.linkLocked(addr); !r.isAvoided(now) {
 		r.lost, r.lostAt = true, now
 	}
 }
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -46,16 +46,16 @@
 // forward.Pool.Send does. While the host's own link to the replica is lost, another host passes
 // the request on. Through is the ID of that host.
 func (s *Sender) Send(ctx context.Context, r *Request, matches Matches) (answer *forward.Answer, through string, err error) {
-	answer, err = s.SendDirect(ctx, r, matches)
+	answer, err = s.sendDirect(ctx, r, matches)
 	if !errors.Is(err, forward.ErrUnreachable) || ctx.Err() != nil {
 		return answer, "", err
 	}
 	return s.sendThrough(ctx, r, matches)
 }
 
-// SendDirect is Send over the host's own link only. It returns forward.ErrUnreachable if the link
+// sendDirect is Send over the host's own link only. It returns forward.ErrUnreachable if the link
 // is lost.
-func (s *Sender) SendDirect(ctx context.Context, r *Request, matches Matches) (*forward.Answer, error) {
+func (s *Sender) sendDirect(ctx context.Context, r *Request, matches Matches) (*forward.Answer, error) {
 	addr := r.Replica.Addr
 	if !s.ready(ctx, r.Replica) {
 		return nil, forward.ErrUnreachable
@@ -75,21 +75,21 @@
 // Reachable reports whether a replica accepts a connection from this host or from another one, or
 // nothing is known of that because the hosts that were asked have lost their own links, too.
 func (s *Sender) Reachable(ctx context.Context, r replica.Record) bool {
-	if s.ReachableDirect(ctx, r) {
+	if s.reachableDirect(ctx, r) {
 		return true
 	}
 	return s.reachableThrough(ctx, r)
 }
 
-// ReachableDirect reports whether a replica accepts a connection from this host.
-func (s *Sender) ReachableDirect(ctx context.Context, r replica.Record) bool {
+// reachableDirect reports whether a replica accepts a connection from this host.
+func (s *Sender) reachableDirect(ctx context.Context, r replica.Record) bool {
 	return s.links.use(r, time.Now()) != unusable && s.check(ctx, r)
 }
 
 // ReachableFor returns for another host whether a replica accepts a connection from this host.
 // Unreachable is said only if another replica does, so that not this host's own links are lost.
 func (s *Sender) ReachableFor(ctx context.Context, r replica.Record) Outcome {
-	if s.ReachableDirect(ctx, r) {
+	if s.reachableDirect(ctx, r) {
 		return Reachable
 	}
 	return s.failureFor(ctx, r)
@@ -106,9 +106,9 @@
 	return Unreachable
 }
 
-// SendFor is SendDirect for another host.
+// SendFor sends a request of another host over this host's own link only.
 func (s *Sender) SendFor(ctx context.Context, r *Request, matches Matches) (*forward.Answer, Outcome) {
-	answer, err := s.SendDirect(ctx, r, matches)
+	answer, err := s.sendDirect(ctx, r, matches)
 	if errors.Is(err, forward.ErrUnreachable) {
 		return nil, s.failureFor(ctx, r.Replica)
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -72,7 +72,8 @@
 			go guard.Run(s.events, "link check", func() { s.findLoss(ctx, s.links.recordOf(f.Addr)) })
 		}
 	}
-	s.closeQuiet(flights, now)
+	// Answers over lost links that are not arriving are given up.
+	s.pool.CloseQuiet(now.Add(-quietAnswerLimit), s.links.isLost)
 	if now.After(w.nextProbe) {
 		w.nextProbe = now.Add(probeInterval)
 		s.probe(now)
@@ -113,15 +114,6 @@
 	}
 }
 
-// closeQuiet gives up answers that are not arriving because the link is lost.
-func (s *Sender) closeQuiet(flights []forward.Flight, now time.Time) {
-	for _, f := range flights {
-		if now.Sub(f.QuietSince) >= quietAnswerLimit && s.links.isLost(f.Addr) {
-			s.pool.CloseQuiet(f.Addr, now.Add(-quietAnswerLimit))
-		}
-	}
-}
-
 // probe checks lost links again.
 func (s *Sender) probe(now time.Time) {
 	limit := maxProbes
