Copy answers' headers and match answers in one place each

Answers to callers and to other hosts copied a replica's headers with two loops. copyEndToEnd serves both; the old one also saved the Connection header from being overwritten, which end-to-end headers never contain. One function returns what tells the answers to a request, for callers' requests and those of other hosts. No change of behaviour.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,7 +114,7 @@
 	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline,
 		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header,
 			Body: body, HasBody: x.call.HasBody}}
-	answer, through, err := x.g.sender.Send(attemptCtx, request, x.isAnswerToRequest)
+	answer, through, err := x.g.sender.Send(attemptCtx, request, x.g.answersTo(x.call.ID))
 	x.through = through
 	if err != nil {
 		slow := errors.Is(context.Cause(attemptCtx), errFirstByteTimeout)
@@ -156,12 +156,6 @@
 	return a, nil
 }
 
-// isAnswerToRequest reports whether an answer belongs to this request. Answers that a
-// replica did not sign may lack the request ID.
-func (x *exchange) isAnswerToRequest(_ int, h http.Header) bool {
-	return x.g.isAnswerTo(x.call.ID, h)
-}
-
 // learnLeaving records what an answer says of the end of the replica. An answer that the request
 // was misdirected comes from another replica.
 func (g *Gateway) learnLeaving(r replica.Record, info AnswerInfo, status int) {
@@ -170,10 +164,13 @@
 	}
 }
 
-// isAnswerTo reports whether an answer belongs to the request with the given ID.
-func (g *Gateway) isAnswerTo(id string, h http.Header) bool {
-	info := g.codec.Answer(h)
-	return info.RequestID == id || (info.RequestID == "" && !info.Signed)
+// answersTo returns the function that reports whether an answer belongs to the request with the
+// given ID. Answers that a replica did not sign may lack the request ID.
+func (g *Gateway) answersTo(id string) relay.Matches {
+	return func(_ int, h http.Header) bool {
+		info := g.codec.Answer(h)
+		return info.RequestID == id || (info.RequestID == "" && !info.Signed)
+	}
 }
 
 // brokenResult returns the result to report for an attempt whose connection broke: a lost link of
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -11,6 +11,16 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
 }
 
+// copyEndToEnd copies the headers of a replica's answer to a response, except hop-by-hop headers.
+func copyEndToEnd(response, answer http.Header) {
+	for name, values := range EndToEnd(answer) {
+		response[name] = values
+	}
+	if _, typed := response["Content-Type"]; !typed {
+		response["Content-Type"] = nil // prevents net/http from detecting one
+	}
+}
+
 // EndToEnd returns a copy of h without hop-by-hop headers.
 func EndToEnd(h http.Header) http.Header {
 	kept := h.Clone()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -97,22 +97,7 @@
 	return content, nil
 }
 
-// copyHeader copies the headers of an answer to the response, except hop-by-hop headers.
-func (x *exchange) copyHeader(a *forward.Answer) {
-	h := x.w.Header()
-	closing := h.Get("Connection")
-	for name, values := range EndToEnd(a.Header) {
-		h[name] = values
-	}
-	if closing != "" {
-		h.Set("Connection", closing)
-	}
-	if _, typed := h["Content-Type"]; !typed {
-		h["Content-Type"] = nil // prevents net/http from detecting one
-	}
-}
-
-// dropHeader removes what copyHeader copied from an answer that is not passed on.
+// dropHeader removes what was copied from an answer that is not passed on.
 func (x *exchange) dropHeader() {
 	h := x.w.Header()
 	closing := h.Get("Connection")
@@ -124,7 +109,7 @@
 
 // writeAnswer sends a buffered answer to the caller.
 func (x *exchange) writeAnswer(a *forward.Answer, content []byte) {
-	x.copyHeader(a)
+	copyEndToEnd(x.w.Header(), a.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	x.status = a.Status
 	x.w.WriteHeader(a.Status)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -78,10 +78,8 @@
 	relay.RemoveHeaders(header)
 	request := &relay.Request{ID: received.ID, Replica: record, Deadline: time.Now().Add(remaining),
 		Request: forward.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header,
-			Body: [][]byte{body}, HasBody: r.ContentLength >= 0 && r.Header.Get("Content-Length") != ""}}
-	answer, outcome := g.sender.SendFor(ctx, request, func(_ int, h http.Header) bool {
-		return g.isAnswerTo(received.ID, h)
-	})
+			Body: [][]byte{body}, HasBody: r.Header.Get("Content-Length") != ""}}
+	answer, outcome := g.sender.SendFor(ctx, request, g.answersTo(received.ID))
 	if outcome != relay.Answered {
 		replyOutcome(w, outcome)
 		return
@@ -102,16 +100,12 @@
 // connection is aborted.
 func copyAnswer(w http.ResponseWriter, answer *forward.Answer) {
 	h := w.Header()
-	for name, values := range EndToEnd(answer.Header) {
-		h[name] = values
-	}
+	copyEndToEnd(h, answer.Header)
 	if length := answer.Header.Get("Content-Length"); length != "" {
 		h.Set("Content-Length", length)
 	}
-	for _, name := range []string{"Content-Type", "Date"} {
-		if _, set := h[name]; !set {
-			h[name] = nil // prevents net/http from adding it
-		}
+	if _, dated := h["Date"]; !dated {
+		h["Date"] = nil // prevents net/http from adding it
 	}
 	relay.Answered.Set(h)
 	w.WriteHeader(answer.Status)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -38,7 +38,7 @@
 // ends early and cannot be resumed, the caller gets an error if it was sent nothing yet;
 // otherwise its connection is aborted.
 func (x *exchange) stream(ctx context.Context, a *attempt, body [][]byte, q replica.Query, t *turn) {
-	x.copyHeader(a.answer)
+	copyEndToEnd(x.w.Header(), a.answer.Header)
 	x.w.Header().Del("Content-Length")
 	x.status = a.answer.Status
 	var s eventParser
