--- a/internal/storelog/monitor.go
+++ b/internal/storelog/monitor.go
@@ -16,9 +16,6 @@
 	// slowMultiple is the same limits as a multiple of the store's answer time: a slow store is
 	// no lost one.
 	slowMultiple = 3
-	// answerTimeWeight is the weight of an answer that is faster than the answer time. Slower
-	// ones count at once.
-	answerTimeWeight = 0.2
 )
 
 // Monitor determines from the outcomes of calls whether this host reaches the store. Its
@@ -34,7 +31,7 @@
 	lastFailed bool
 	lastAnswer time.Time
 	// answerTime estimates how long the store takes for an answer.
-	answerTime time.Duration
+	answerTime MovingAverage
 }
 
 // NewMonitor returns a monitor without any calls, which reports the store as reachable.
@@ -57,7 +54,10 @@
 		m.lastFailed = !answered
 		if answered {
 			m.lastAnswer = time.Now()
-			m.observeLocked(m.lastAnswer.Sub(expected))
+			// Answers that come sooner than expected, to calls that wait for a record, say nothing.
+			if d := m.lastAnswer.Sub(expected); d >= 0 {
+				m.answerTime.Add(d)
+			}
 		}
 	}
 }
@@ -68,13 +68,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
-	if now.Sub(m.lastAnswer) < max(minAnswerGrace, slowMultiple*m.answerTime) {
+	if now.Sub(m.lastAnswer) < max(minAnswerGrace, slowMultiple*m.answerTime.Mean()) {
 		return true
 	}
 	if m.lastFailed {
 		return false
 	}
-	overdue := max(minOverdue, slowMultiple*m.answerTime)
+	overdue := max(minOverdue, slowMultiple*m.answerTime.Mean())
 	for _, expected := range m.pending {
 		if now.Sub(expected) > overdue {
 			return false
@@ -85,20 +85,4 @@
 
 // AnswerTime returns an estimate of how long the store takes for an answer, or 0 before the
 // first one.
-func (m *Monitor) AnswerTime() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.answerTime
-}
-
-// observeLocked adds an answer to the estimate. Answers that come sooner than expected, to calls
-// that wait for a record, say nothing.
-func (m *Monitor) observeLocked(d time.Duration) {
-	switch {
-	case d < 0:
-	case d > m.answerTime:
-		m.answerTime = d
-	default:
-		m.answerTime += time.Duration(answerTimeWeight * float64(d-m.answerTime))
-	}
-}
+func (m *Monitor) AnswerTime() time.Duration { return m.answerTime.Mean() }
--- a/internal/turns/append.go
+++ b/internal/turns/append.go
@@ -35,12 +35,12 @@
 		start := time.Now()
 		end, err := o.log.Append(ctx, where, expected, records)
 		if err == nil {
-			o.appendTime.add(time.Since(start))
+			o.appendTime.Add(time.Since(start))
 		}
 		outcomes <- appendResult{end, err}
 	}
 	go try()
-	hedge := time.NewTimer(max(hedgeMin, hedgeMultiple*o.appendTime.mean()))
+	hedge := time.NewTimer(max(hedgeMin, hedgeMultiple*o.appendTime.Mean()))
 	defer hedge.Stop()
 	var failure error
 	for started, finished := 1, 0; finished < started; {
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -41,7 +41,7 @@
 	events     *event.Logger
 	partitions [Partitions]*partition
 	// appendTime is the average duration of an append.
-	appendTime movingAverage
+	appendTime storelog.MovingAverage
 	// terminated records when other owners were first found to have terminated.
 	terminated terminatedOwners
 	// loadSlots holds one token for each load in progress.
