Use one type for a run of a replica between hosts

replica.Incarnation serves as the message, in place of peers.ReplicaRun and the two loops that translated between them, and as the key of crashed replicas in the quarantine. Notice.Leaving is named LeavingReplicas in Go, since Condition.Leaving stands beside it in a heartbeat; the number on the wire is unchanged, and TestNoticeBesideCondition shows that both arrive. No change of behaviour.

--- /dev/null
+++ b/cmd/cowslipgw/gateway_notices.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"cowslipgw/internal/peers"
+	"cowslipgw/internal/replica"
+)
+
+const (
+	// leavingInterval is how often the host repeats which replicas are leaving, for hosts that have
+	// started or were cut off.
+	leavingInterval = 2 * time.Second
+	// maxLeavingPerNotice keeps a notice below the size of a datagram.
+	maxLeavingPerNotice = 32
+)
+
+// receive handles what another host tells beside its own condition.
+func (p *gatewayProcess) receive(b peers.Heartbeat) {
+	p.limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
+	for _, limit := range b.Limits {
+		p.replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
+	}
+	p.replicas.LearnLeaving(b.LeavingReplicas)
+	p.quarantine.Receive(b.Host.ID, b.Notice)
+}
+
+// announceLimit tells all other hosts the rate of requests that a replica accepts.
+func (p *gatewayProcess) announceLimit(r replica.Record, perSecond float64) {
+	p.beacon.Broadcast(peers.Notice{Limits: []peers.ReplicaLimit{{Replica: r.ID, Incarnation: r.Born, PerSecond: perSecond}}})
+}
+
+// announceLeaving tells all other hosts which replicas are about to end.
+func (p *gatewayProcess) announceLeaving(leaving []replica.Incarnation) {
+	for part := range slices.Chunk(leaving, maxLeavingPerNotice) {
+		p.beacon.Broadcast(peers.Notice{LeavingReplicas: part})
+	}
+}
--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -63,11 +62,6 @@
 	preloadInterval = time.Second
 	// quarantineCheckInterval is how often the host checks whether it must repeat a notice.
 	quarantineCheckInterval = 200 * time.Millisecond
-	// leavingInterval is how often the host repeats which replicas are leaving, for hosts that have
-	// started or were cut off.
-	leavingInterval = 2 * time.Second
-	// maxLeavingPerNotice keeps a notice below the size of a datagram.
-	maxLeavingPerNotice = 32
 	// preloadDelay is the time in which a new host receives heartbeats from all
 	// others.
 	preloadDelay = 1500 * time.Millisecond
@@ -129,32 +123,22 @@
 	p.client.SetOwner(p.owner)
 	var err error
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
-	replicas := replica.NewSet(s.Domain, events)
+	p.replicas = replica.NewSet(s.Domain, events)
 	p.quarantine = quarantine.NewTable(p.table, func(n peers.Notice) { p.beacon.Broadcast(n) }, events)
-	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, func(b peers.Heartbeat) {
-		limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
-		for _, limit := range b.Limits {
-			replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
-		}
-		replicas.LearnLeaving(leavingOf(b.Notice))
-		p.quarantine.Receive(b.Host.ID, b.Notice)
-	}, events)
+	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, p.receive, events)
 	if err != nil {
 		return nil, err
 	}
-	replicas.OnLimit(func(r replica.Record, perSecond float64) {
-		p.beacon.Broadcast(peers.Notice{Limits: []peers.ReplicaLimit{{Replica: r.ID, Incarnation: r.Born, PerSecond: perSecond}}})
-	})
-	p.replicas = replicas
-	replicas.OnLeaving(p.announceLeaving)
+	p.replicas.OnLimit(p.announceLimit)
+	p.replicas.OnLeaving(p.announceLeaving)
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
 		limiter.Configure, events)
-	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), replicas, p.table.Known)
+	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), p.replicas, p.table.Known)
 	p.pool, p.hostPool = forward.NewPool(), forward.NewPool()
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Replicas: replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
+		Replicas: p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
 		Quarantine: p.quarantine, Events: events,
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
@@ -226,26 +210,6 @@
 	go p.handleReloads(ctx)
 }
 
-// announceLeaving tells all other hosts which replicas are about to end.
-func (p *gatewayProcess) announceLeaving(leaving []replica.Incarnation) {
-	for part := range slices.Chunk(leaving, maxLeavingPerNotice) {
-		runs := make([]peers.ReplicaRun, len(part))
-		for n, i := range part {
-			runs[n] = peers.ReplicaRun{Replica: i.ID, Incarnation: i.Born}
-		}
-		p.beacon.Broadcast(peers.Notice{Leaving: runs})
-	}
-}
-
-// leavingOf returns the replicas in a notice that are about to end.
-func leavingOf(n peers.Notice) []replica.Incarnation {
-	leaving := make([]replica.Incarnation, len(n.Leaving))
-	for i, run := range n.Leaving {
-		leaving[i] = replica.Incarnation{ID: run.Replica, Born: run.Incarnation}
-	}
-	return leaving
-}
-
 // preload loads the partitions that may move to this host, once the other hosts are
 // known.
 func (p *gatewayProcess) preload(ctx context.Context) {
--- a/internal/peers/notice.go
+++ b/internal/peers/notice.go
@@ -1,5 +1,7 @@
 package peers
 
+import "cowslipgw/internal/replica"
+
 // Notice is what a host tells all others beside its own condition. Each part may be missing.
 type Notice struct {
 	// Limits are rates that replicas accept from all hosts, as the sender has just learned them.
@@ -13,13 +15,13 @@
 	Completed []RequestDigest `cbor:"12,keyasint,omitempty"`
 	// Quarantined are requests that no replica may run.
 	Quarantined []Quarantine `cbor:"13,keyasint,omitempty"`
-	// Leaving are replicas that told the sender that they are about to end.
-	Leaving []ReplicaRun `cbor:"15,keyasint,omitempty"`
+	// LeavingReplicas are those that told the sender that they are about to end.
+	LeavingReplicas []replica.Incarnation `cbor:"15,keyasint,omitempty"`
 }
 
 // isEmpty reports whether the notice has no part.
 func (n Notice) isEmpty() bool {
-	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined)+len(n.Leaving) == 0
+	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined)+len(n.LeavingReplicas) == 0
 }
 
 // CrashProgram returns the program of the request in Crashes with the given index, or 0 if it
@@ -39,13 +41,6 @@
 	PerSecond   float64
 }
 
-// ReplicaRun is one incarnation of a replica.
-type ReplicaRun struct {
-	_           struct{} `cbor:",toarray"`
-	Replica     string
-	Incarnation int64
-}
-
 // RequestDigest identifies a request and its repetitions.
 type RequestDigest [16]byte
 
--- a/internal/peers/notice_test.go
+++ b/internal/peers/notice_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
+
+	"cowslipgw/internal/replica"
 )
 
 // earlierCrash and earlierHeartbeat are the messages of the build before CrashPrograms.
@@ -26,7 +28,7 @@
 	is := is.New(t)
 	data, err := cbor.Marshal(Heartbeat{Host: Host{ID: "new"}, Notice: Notice{
 		Crashes: []Crash{{Request: RequestDigest{1}, Replica: "r", Incarnation: 7}}, CrashPrograms: []uint64{9},
-		Leaving: []ReplicaRun{{Replica: "l", Incarnation: 8}}}})
+		LeavingReplicas: []replica.Incarnation{{ID: "l", Born: 8}}}})
 	is.NoErr(err)
 	var old earlierHeartbeat
 	is.NoErr(cbor.Unmarshal(data, &old))
@@ -39,3 +41,17 @@
 	is.Equal(got.Crashes, []Crash{{Request: RequestDigest{2}, Replica: "s", Incarnation: 3}})
 	is.Equal(got.CrashProgram(0), uint64(0))
 }
+
+// TestNoticeBesideCondition guards against parts of a heartbeat that are lost on the way because
+// another part has a field of the same name or number.
+func TestNoticeBesideCondition(t *testing.T) {
+	is := is.New(t)
+	want := Heartbeat{Host: Host{ID: "h"}, Condition: Condition{Leaving: true, Serving: true, StoreLost: true, Overloaded: true, Stranded: true},
+		Notice: Notice{LeavingReplicas: []replica.Incarnation{{ID: "l", Born: 8}}, CrashPrograms: []uint64{9},
+			Limits: []ReplicaLimit{{Replica: "r", Incarnation: 7, PerSecond: 2}}}}
+	data, err := cbor.Marshal(want)
+	is.NoErr(err)
+	var got Heartbeat
+	is.NoErr(cbor.Unmarshal(data, &got))
+	is.Equal(got, want)
+}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -5,19 +5,14 @@
 	"time"
 
 	"cowslipgw/internal/boottime"
+	"cowslipgw/internal/replica"
 )
 
-// replicaRun is one incarnation of a replica.
-type replicaRun struct {
-	id          string
-	incarnation int64
-}
-
 // suspect is a request under which replicas have crashed.
 type suspect struct {
 	// crashed holds the replicas that ended under the request, and reporters the hosts that saw
 	// them end.
-	crashed   map[replicaRun]struct{}
+	crashed   map[replica.Incarnation]struct{}
 	reporters map[string]struct{}
 	lastCrash boottime.Instant
 	// programs holds the programs of which the request was a part when replicas ended.
@@ -30,14 +25,14 @@
 }
 
 func newSuspect(now boottime.Instant) *suspect {
-	return &suspect{crashed: make(map[replicaRun]struct{}), reporters: make(map[string]struct{}),
+	return &suspect{crashed: make(map[replica.Incarnation]struct{}), reporters: make(map[string]struct{}),
 		programs: make(map[uint64]struct{}), lastCrash: now}
 }
 
 // add records a crash. Beyond what quarantines the request, crashes need not be told apart.
-func (s *suspect) add(host string, replica replicaRun, program uint64, now boottime.Instant) {
+func (s *suspect) add(host string, run replica.Incarnation, program uint64, now boottime.Instant) {
 	if len(s.crashed) <= crashThreshold {
-		s.crashed[replica] = struct{}{}
+		s.crashed[run] = struct{}{}
 	}
 	if len(s.reporters) <= minReporters {
 		s.reporters[host] = struct{}{}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -12,6 +12,7 @@
 	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/peers"
+	"cowslipgw/internal/replica"
 )
 
 const (
@@ -76,12 +77,12 @@
 }
 
 // Crashed records that a replica ended while it ran the given requests of this host.
-func (t *Table) Crashed(replica string, incarnation int64, requests []Request) {
+func (t *Table) Crashed(id string, incarnation int64, requests []Request) {
 	for part := range slices.Chunk(requests, maxPerNotice/len(Request{}.digests())) {
 		var notice peers.Notice
 		for _, r := range part {
 			for _, d := range r.digests() {
-				crash := peers.Crash{Request: peers.RequestDigest(d), Replica: replica, Incarnation: incarnation}
+				crash := peers.Crash{Request: peers.RequestDigest(d), Replica: id, Incarnation: incarnation}
 				t.add(t.hosts.Self().ID, crash, r.Program)
 				notice.Crashes = append(notice.Crashes, crash)
 				notice.CrashPrograms = append(notice.CrashPrograms, r.Program)
@@ -222,7 +223,7 @@
 		return
 	}
 	now := t.now()
-	s.add(host, replicaRun{crash.Replica, crash.Incarnation}, program, now)
+	s.add(host, replica.Incarnation{ID: crash.Replica, Born: crash.Incarnation}, program, now)
 	if s.until > now || len(s.crashed) < crashThreshold || len(s.reporters) < min(minReporters, alive) {
 		return
 	}
--- a/internal/replica/leaving.go
+++ b/internal/replica/leaving.go
@@ -17,12 +17,6 @@
 
 var replicasLeaving = metrics.NewCounter("cowslipgw_replicas_leaving_total")
 
-// Incarnation identifies one run of a replica.
-type Incarnation struct {
-	ID   string
-	Born int64
-}
-
 // leavingState is what this host knows of an incarnation that is about to end.
 type leavingState struct {
 	// told is set if an answer said so, rather than another host.
@@ -33,11 +27,11 @@
 
 // isLeavingLocked reports whether an incarnation is about to end. It does not depend on the
 // replica's record, which may say so later or be removed and read again.
-func (s *Set) isLeavingLocked(r Record) bool { return s.leaving[Incarnation{r.ID, r.Born}] != nil }
+func (s *Set) isLeavingLocked(r Record) bool { return s.leaving[r.Incarnation()] != nil }
 
 // Leaving records that an answer of a replica says that it is about to end.
 func (s *Set) Leaving(r Record) {
-	if i := (Incarnation{r.ID, r.Born}); s.addLeaving(i, true) && s.onLeaving != nil {
+	if i := r.Incarnation(); s.addLeaving(i, true) && s.onLeaving != nil {
 		go s.onLeaving([]Incarnation{i})
 	}
 }
@@ -78,7 +72,7 @@
 	defer s.mu.Unlock()
 	var told []Incarnation
 	for i, state := range s.leaving {
-		if r := s.byID[i.ID]; state.told && r != nil && r.record.Born == i.Born {
+		if r := s.byID[i.ID]; state.told && r != nil && r.record.Incarnation() == i {
 			told = append(told, i)
 		}
 	}
@@ -89,7 +83,7 @@
 // sweepLeavingLocked forgets the incarnations that have ended.
 func (s *Set) sweepLeavingLocked(now boottime.Instant) {
 	for i, state := range s.leaving {
-		if r := s.byID[i.ID]; r != nil && r.record.Born == i.Born {
+		if r := s.byID[i.ID]; r != nil && r.record.Incarnation() == i {
 			state.confirmedAt = now
 		}
 		if now.Sub(state.confirmedAt) >= leavingLifetime {
