--- a/review/testdata/world/case_large.go
+++ b/review/testdata/world/case_large.go
@@ -8,12 +8,12 @@
 	"time"
 )
 
-// program is an agent program of a client.
+// agentProgram is an agent program of a client.
 type agentProgram struct {
 	id, tenant, key string
 	// last is the newest turn that was answered whole; empty before the first.
 	last string
-	// history is what the engine must have read before the next input.
+	// budget is the number of tokens that the program may generate; 0 for no limit.
 	budget int
 }
 
