--- a/review/testdata/world/case_full.go
+++ b/review/testdata/world/case_full.go
@@ -11,7 +11,7 @@
 	// fullHosts is the number of hosts, and fullClients the number of clients that run programs.
 	fullHosts   = 10
 	fullClients = 40
-	// longestBody is the longest input of a turn on the sheet, usualBody the mean.
+	// longestBody is the longest input of a turn on the site; usualBody is the mean.
 	longestBody = 26_000
 	// fullTurns is the number of turns of a program, and thinkTime the mean pause between two turns.
 	fullTurns = 4
--- a/review/testdata/world/world.go
+++ b/review/testdata/world/world.go
@@ -54,6 +54,8 @@
 	mu      sync.Mutex
 	hosts   []*Host
 	version int
+	// begun is the number of calls of firstTurnsReach.
+	begun int
 }
 
 // newWorld starts the store and the replicas.
