turns: a host that no longer owns a partition unloads it as a whole

Callers saw 503 at every try for 20 of 96 programs, and up to 660 tokens of a budget of 440, after a host that had owned part of the partitions for 83 s was stopped.

Cause: a former owner dropped single programs that had expired as far as it knew and kept the partition as read up to its old offset, although the programs went on elsewhere.

Now the whole partition is unloaded, grants without a record are kept, and tombstones are conditional appends that exclude other writes of the owner. Programs without a turn (a denied first turn) are dropped from memory.

Ruled out: the order of records at a load and the preallocations; a fresh owner read everything right.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -20,6 +20,7 @@
 	TurnsLoadFailed      = define(1731, logrus.WarnLevel, "turns of a partition could not be loaded")
 	TurnRecordInvalid    = define(1732, logrus.ErrorLevel, "turn record is invalid and was ignored")
 	TurnsAppendFailed    = define(1736, logrus.WarnLevel, "turns of a partition could not be appended to the store")
+	TurnsSweepFailed     = define(1737, logrus.WarnLevel, "expired turns of a partition could not be removed")
 	ReservationExceeded  = define(1706, logrus.WarnLevel, "stream was cut because it exceeds the tokens reserved for it")
 	StreamResumed        = define(1705, logrus.InfoLevel, "stream was resumed after its connection to the replica broke")
 	TurnStoreTimeout     = define(1734, logrus.WarnLevel, "answer was not completed because its turn could not be stored in time")
--- a/internal/turns/load.go
+++ b/internal/turns/load.go
@@ -74,6 +74,9 @@
 	defer p.loadMu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
+	p.mu.Lock()
+	p.unloadLocked() // An earlier load may have failed halfway.
+	p.mu.Unlock()
 	end, err := storelog.Load(ctx, o.log, p.logPartition, func(r storelog.Record) { o.apply(p, r) })
 	if err != nil {
 		return err
@@ -92,13 +95,19 @@
 	}
 }
 
+// errNotLoaded is returned by a read of new records of a partition that was unloaded meanwhile.
+var errNotLoaded = errors.New("partition is not loaded")
+
 // sync reads the records that were appended since the last read.
 func (o *Owner) sync(ctx context.Context, p *partition) error {
 	p.loadMu.Lock()
 	defer p.loadMu.Unlock()
 	p.mu.Lock()
-	from := p.end
+	from, loaded := p.end, p.loaded
 	p.mu.Unlock()
+	if !loaded {
+		return errNotLoaded
+	}
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	end, err := storelog.Follow(ctx, o.log, p.logPartition, from, func(r storelog.Record) { o.apply(p, r) })
@@ -114,13 +123,8 @@
 	return nil
 }
 
-// ensureSynced loads the partition, or reads its newest records if it is loaded.
+// ensureSynced loads the partition if needed and reads its newest records.
 func (o *Owner) ensureSynced(ctx context.Context, p *partition) bool {
-	p.mu.Lock()
-	loaded := p.loaded
-	p.mu.Unlock()
-	if !loaded {
-		return o.ensureLoaded(ctx, p)
-	}
-	return o.sync(ctx, p) == nil
+	// A load that is in progress may have read the newest records before this call began.
+	return o.ensureLoaded(ctx, p) && o.sync(ctx, p) == nil
 }
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -134,7 +134,9 @@
 	if c.sent || c.completed {
 		return c.withdrawn
 	}
-	p.removeLocked(c.turn.ID)
+	if t := p.turns[c.turn.ID]; t != nil && t.State == Open {
+		p.removeLocked(t.ID)
+	}
 	c.completeLocked()
 	p.dropCompletedLocked()
 	return true
@@ -145,10 +147,13 @@
 func (o *Owner) decide(p *partition, args BeginArgs) (BeginReply, *change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.loaded {
+		return BeginReply{Outcome: Unavailable}, nil
+	}
 	reply := BeginReply{Outcome: Granted}
 	if args.Parent != "" {
 		parent := p.turns[args.Parent]
-		if parent == nil || parent.State != Ended {
+		if parent == nil || !p.canContinueLocked(parent) {
 			return BeginReply{Outcome: UnknownParent}, nil
 		}
 		if parent.Account != args.Account {
@@ -178,6 +183,7 @@
 		return BeginReply{Outcome: Exhausted}, nil
 	}
 	if g.grantPreallocated(args.Turn, args.MaxTokens) {
+		g.expiry = max(g.expiry, t.Expiry)
 		return reply, nil
 	}
 	// If no write is in progress, this change is written in spite of earlier failures, since
@@ -198,6 +204,10 @@
 		return false
 	}
 	p.mu.Lock()
+	if !p.loaded {
+		p.mu.Unlock()
+		return false
+	}
 	c := p.pendingLocked(t.ID, t.State)
 	if c == nil {
 		c = &change{turn: t, done: make(chan struct{})}
@@ -228,7 +238,7 @@
 // them, and marks them as certain.
 func (o *Owner) Locate(ctx context.Context, args LocateArgs, owns func(partition int) bool) LocateReply {
 	for _, p := range o.partitions {
-		if reply := p.locate(args); reply.Outcome != UnknownParent {
+		if reply, _ := p.locate(args); reply.Outcome != UnknownParent {
 			return reply
 		}
 	}
@@ -243,10 +253,13 @@
 		if !synced {
 			continue
 		}
-		if found := owned[n].locate(args); found.Outcome != UnknownParent {
+		found, loaded := owned[n].locate(args)
+		if found.Outcome != UnknownParent {
 			return found
 		}
-		reply.Certain |= 1 << owned[n].id
+		if loaded {
+			reply.Certain |= 1 << owned[n].id
+		}
 	}
 	return reply
 }
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -14,8 +15,14 @@
 // time.
 const Partitions = 64
 
-// expirySlack is added to a turn's retention, since the clocks of hosts differ by seconds.
-const expirySlack = 15 * time.Second
+const (
+	// expirySlack is added to a turn's retention, since the clocks of hosts differ by seconds.
+	// After that, the turn cannot be continued any more.
+	expirySlack = 15 * time.Second
+	// removalDelay is the time from the end of expirySlack to the removal of a turn. A turn that
+	// was begun just before must be stored by then, which keeps its ancestors.
+	removalDelay = 10 * time.Second
+)
 
 // partition is the state of one partition at this host. Lock order: loadMu, mu.
 type partition struct {
@@ -30,7 +37,8 @@
 	mu sync.Mutex
 	// loadDone is closed when the load in progress ends; nil if none is in progress.
 	loadDone chan struct{}
-	// loaded is set when turns contains all records up to offset end.
+	// loaded is set when turns contains all records up to offset end. It stays set while changes
+	// are pending.
 	loaded bool
 	end    int64
 	// verifiedAt is when the store last confirmed that the partition ends at end.
@@ -67,7 +75,10 @@
 	delete(g.unrecorded, t.ID)
 	if t.Writer == p.writer {
 		p.markReadBackLocked(&t)
-	} else {
+	}
+	// A partition that is loaded again may have no later record of another owner than those
+	// that this one repeated in its own.
+	if t.Writer != p.writer || !p.loaded {
 		g.applyForeignRecord(r.Offset, p.writer, &t)
 	}
 	return true
@@ -123,7 +134,7 @@
 	g := p.programs[key]
 	delete(g.turns, id)
 	g.tokens -= t.Tokens
-	if len(g.turns) == 0 {
+	if len(g.turns) == 0 && len(g.unrecorded) == 0 {
 		delete(p.programs, key)
 	}
 }
@@ -157,22 +168,30 @@
 	return !p.failingSince.IsZero() && time.Since(p.failingSince) >= d
 }
 
-// locate looks up an ended turn of an account and its history.
-func (p *partition) locate(args LocateArgs) LocateReply {
+// locate looks up a turn of an account that can be continued, and its history. Loaded reports
+// whether the partition has its turns in memory.
+func (p *partition) locate(args LocateArgs) (reply LocateReply, loaded bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.turns[args.Turn]
-	if t == nil || t.State != Ended {
-		return LocateReply{Outcome: UnknownParent}
+	if t == nil || !p.canContinueLocked(t) {
+		return LocateReply{Outcome: UnknownParent}, p.loaded
 	}
 	if t.Account != args.Account {
-		return LocateReply{Outcome: ForeignParent}
+		return LocateReply{Outcome: ForeignParent}, p.loaded
 	}
 	chain, complete := p.chainLocked(t)
 	if !complete {
-		return LocateReply{Outcome: Unavailable}
+		return LocateReply{Outcome: Unavailable}, p.loaded
 	}
-	return LocateReply{Outcome: Located, Chain: chain, Replica: t.Replica}
+	return LocateReply{Outcome: Located, Chain: chain, Replica: t.Replica}, p.loaded
+}
+
+// canContinueLocked reports whether a turn was answered completely and is retained long enough
+// for another one that continues it.
+func (p *partition) canContinueLocked(t *Turn) bool {
+	g := p.programs[programKey{t.Account, t.Program}]
+	return t.State == Ended && time.UnixMilli(g.expiry).Add(expirySlack).After(time.Now())
 }
 
 // expiredLocked returns the turns of programs whose retention has ended. It stops after the
@@ -180,7 +199,7 @@
 func (p *partition) expiredLocked(now time.Time, limit int) []string {
 	var ids []string
 	for _, g := range p.programs {
-		if time.UnixMilli(g.expiry).Add(expirySlack).After(now) {
+		if !g.isExpired(now) {
 			continue
 		}
 		for id := range g.turns {
@@ -192,3 +211,25 @@
 	}
 	return ids
 }
+
+// dropEmptyProgramsLocked drops the programs that have no turns, only grants without a record
+// that are as old as an expired turn.
+func (p *partition) dropEmptyProgramsLocked(now time.Time) {
+	maps.DeleteFunc(p.programs, func(_ programKey, g *program) bool { return len(g.turns) == 0 && g.isExpired(now) })
+}
+
+// unloadLocked drops the turns from memory. What was granted without a record is kept, since
+// the store does not have it.
+func (p *partition) unloadLocked() {
+	p.loaded = false
+	clear(p.turns)
+	for key, g := range p.programs {
+		if len(g.unrecorded) == 0 {
+			delete(p.programs, key)
+			continue
+		}
+		kept := newProgram()
+		kept.unrecorded, kept.maxReservation, kept.budget, kept.expiry = g.unrecorded, g.maxReservation, g.budget, g.expiry
+		p.programs[key] = kept
+	}
+}
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -1,6 +1,9 @@
 package turns
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// turnsPerPreallocated is the number of largest turns that must remain in a budget for each
@@ -58,6 +61,12 @@
 		sessionReplicas: make(map[string]string), foreignOffset: -1, releaseOffset: -1}
 }
 
+// isExpired reports whether no turn of the program may be continued any more, and none that was
+// begun can still be under way.
+func (g *program) isExpired(now time.Time) bool {
+	return !time.UnixMilli(g.expiry).Add(expirySlack + removalDelay).After(now)
+}
+
 // recordReplica records the replica that ran a settled turn.
 func (g *program) recordReplica(t *Turn) {
 	if t.State == Open || t.Replica == "" {
--- a/internal/turns/sweep.go
+++ b/internal/turns/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"cowslipgw/internal/event"
@@ -17,8 +18,8 @@
 )
 
 // Sweep removes expired turns until ctx ends. Owns reports whether this host is the first
-// candidate for a partition; only that host deletes the turns from the store, others drop
-// them from memory.
+// candidate for a partition. That host deletes the turns from the store; others unload the
+// partition.
 func (o *Owner) Sweep(ctx context.Context, owns func(partition int) bool) {
 	for {
 		select {
@@ -27,41 +28,85 @@
 		case <-time.After(sweepInterval):
 		}
 		for _, p := range o.partitions {
-			o.sweepPartition(ctx, p, owns)
+			if !owns(p.id) {
+				p.unloadExpired(time.Now())
+				continue
+			}
+			if err := o.sweepPartition(ctx, p); err != nil {
+				o.events.Log(event.TurnsSweepFailed, event.Fields{"partition": p.id, "error": err.Error()})
+				break // The store would probably keep the other partitions waiting, too.
+			}
 		}
 	}
 }
 
-func (o *Owner) sweepPartition(ctx context.Context, p *partition, owns func(int) bool) {
-	now := time.Now()
-	p.mu.Lock()
-	var expired []string
-	if p.loaded {
-		expired = p.expiredLocked(now, sweepBatch)
-	}
-	p.mu.Unlock()
+// sweepPartition deletes expired turns from the store. The append is conditional: if another
+// owner has written since the last read, the programs may have gone on there. A later sweep
+// decides again.
+func (o *Owner) sweepPartition(ctx context.Context, p *partition) error {
+	expired, end := p.beginRemoval(time.Now())
 	if len(expired) == 0 {
-		return
-	}
-	if !owns(p.id) {
-		p.mu.Lock()
-		for _, id := range expired {
-			p.removeLocked(id)
-		}
-		p.mu.Unlock()
-		return
+		return nil
 	}
+	defer o.endRemoval(p)
 	records := make([]storelog.Record, len(expired))
 	for i, id := range expired {
 		records[i] = storelog.Record{Key: id}
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	// Reading the records back removes the turns from memory; a failed append is retried by
-	// the next sweep.
-	if _, err := o.log.Append(ctx, p.logPartition, storelog.AnyEnd, records); err == nil {
-		if err := o.sync(ctx, p); err != nil {
-			o.events.Log(event.TurnsLoadFailed, event.Fields{"partition": p.id, "error": err.Error()})
-		}
+	newEnd, err := o.log.Append(appendCtx, p.logPartition, end, records)
+	switch {
+	case errors.Is(err, storelog.ErrConflict):
+		return o.sync(ctx, p)
+	case err != nil:
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.end, p.verifiedAt = max(p.end, newEnd), time.Now()
+	for _, id := range expired {
+		p.removeLocked(id)
+	}
+	return nil
+}
+
+// beginRemoval returns the expired turns and the expected end of the partition, and keeps
+// writes waiting until endRemoval. It returns no turns if a write is in progress.
+func (p *partition) beginRemoval(now time.Time) ([]string, int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.loaded || p.writing {
+		return nil, 0
+	}
+	p.dropEmptyProgramsLocked(now)
+	expired := p.expiredLocked(now, sweepBatch)
+	p.writing = len(expired) > 0
+	return expired, p.end
+}
+
+// endRemoval writes the changes that were queued since beginRemoval.
+func (o *Owner) endRemoval(p *partition) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writing = len(p.pending) > 0
+	if p.writing {
+		go o.startWrite(p)
+	}
+}
+
+// unloadExpired unloads the partition if some of its programs have expired as far as this
+// host knows. They may have gone on at the owner, so that dropping only them would leave
+// programs without their first turns when the partition returns.
+func (p *partition) unloadExpired(now time.Time) {
+	if !p.loadMu.TryLock() {
+		return
+	}
+	defer p.loadMu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropEmptyProgramsLocked(now)
+	if p.loaded && !p.writing && len(p.pending) == 0 && len(p.expiredLocked(now, 1)) > 0 {
+		p.unloadLocked()
 	}
 }
