turns: a history does not expire with the program in which it began

Cause: a turn that continues one of another program in the same partition only referred to it, and the turns of a program are removed together when that program expires, whoever builds on them. In other partitions the history is copied.

The owner now says that the parent is another program's (BeginReply.Detached), and the host copies the history there, too. Both variants are in TestHistoryOutlivesItsFirstProgram, which failed before (no history for the third program). Ruled out: the removal itself; it does what the program's expiry says.

--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -73,12 +73,13 @@
 }
 
 // Begin asks the owners of the program's partition in order of preference. If the partition
-// does not have the parent turn, Begin looks for it at all hosts, returns its history in
-// Chain and sets flattened; the caller then stores the history as part of the turn's input.
+// does not have the parent turn, Begin looks for it at all hosts and returns its history in
+// Chain. Flattened is set if the parent is not one of the program's own turns; the caller then
+// stores the history as part of the turn's input.
 func (c *Client) Begin(ctx context.Context, args BeginArgs) (reply BeginReply, flattened bool) {
 	reply = c.begin(ctx, args)
 	if reply.Outcome != UnknownParent {
-		return reply, false
+		return reply, reply.Detached
 	}
 	found := c.locate(ctx, LocateArgs{Account: args.Account, Turn: args.Parent})
 	if found.Outcome != Located {
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -45,6 +45,10 @@
 	Chain []byte
 	// Replica is the replica that ran the parent or, without one, the session's last turn.
 	Replica string
+	// Detached is set if the parent belongs to another program, which may expire earlier. The
+	// caller stores Chain as part of the turn's input and no parent, as for a parent in
+	// another partition. Hosts of earlier builds store the parent.
+	Detached bool
 	// Uncertain is set if Outcome is Unavailable and tokens may be reserved nonetheless.
 	// The caller must settle the turn as failed, since only the caller can tell that the
 	// turn does not run.
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -164,6 +164,10 @@
 			return BeginReply{Outcome: UnknownParent}, nil
 		}
 		reply.Chain, reply.Replica = chain, parent.Replica
+		if parent.Program != args.Program {
+			reply.Detached = true
+			args.Parent = ""
+		}
 	}
 	t := Turn{
 		ID: args.Turn, Parent: args.Parent, Account: args.Account, Program: args.Program,
@@ -172,7 +176,7 @@
 	}
 	g := p.programLocked(&t)
 	g.budget = args.Budget
-	if args.Parent == "" {
+	if args.Parent == "" && !reply.Detached {
 		reply.Replica = g.replicaOf(args.Session)
 	}
 	used := g.used() - g.unrecorded[args.Turn]
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -194,12 +194,22 @@
 	return t.State == Ended && time.UnixMilli(g.expiry).Add(expirySlack).After(time.Now())
 }
 
-// expiredLocked returns the turns of programs whose retention has ended. It stops after the
-// program with which limit is reached.
+// expiredLocked returns the turns of programs whose retention has ended, except those that
+// turns of other programs continue. It stops after the program with which limit is reached.
 func (p *partition) expiredLocked(now time.Time, limit int) []string {
-	var ids []string
+	var expired []*program
 	for _, g := range p.programs {
-		if !g.isExpired(now) {
+		if g.isExpired(now) {
+			expired = append(expired, g)
+		}
+	}
+	if len(expired) == 0 {
+		return nil
+	}
+	continued := p.continuedLocked(now)
+	var ids []string
+	for _, g := range expired {
+		if continued[g] {
 			continue
 		}
 		for id := range g.turns {
@@ -212,6 +222,25 @@
 	return ids
 }
 
+// continuedLocked returns the expired programs whose turns are ancestors of a turn of a program
+// that has not expired. Hosts of earlier builds store such turns.
+func (p *partition) continuedLocked(now time.Time) map[*program]bool {
+	continued := make(map[*program]bool)
+	visited := make(map[*Turn]bool)
+	for _, t := range p.turns {
+		if p.programs[programKey{t.Account, t.Program}].isExpired(now) {
+			continue
+		}
+		for ancestor := p.turns[t.Parent]; ancestor != nil && !visited[ancestor]; ancestor = p.turns[ancestor.Parent] {
+			visited[ancestor] = true
+			if g := p.programs[programKey{ancestor.Account, ancestor.Program}]; g.isExpired(now) {
+				continued[g] = true
+			}
+		}
+	}
+	return continued
+}
+
 // dropEmptyProgramsLocked drops the programs that have no turns, only grants without a record
 // that are as old as an expired turn.
 func (p *partition) dropEmptyProgramsLocked(now time.Time) {
