--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -41,6 +41,10 @@
 const (
 	// memoryShare is the fraction of the host's memory that the Go heap may use.
 	memoryShare = 0.7
+	// contentMemoryShare is the fraction of the host's memory for the contents of stored turns,
+	// and requestMemoryShare that for the long bodies and histories of requests in progress.
+	contentMemoryShare = 0.12
+	requestMemoryShare = 0.2
 	// headerTimeout limits the time in which a client must send the request header.
 	headerTimeout = 10 * time.Second
 	// clientIdleTimeout is longer than any client keeps an idle connection open.
@@ -120,6 +124,7 @@
 	p.pacer = pacing.NewPacer(p.table.Counts)
 	p.client = turns.NewClient(p.table, peerCaller, monitor.AnswerTime)
 	p.owner = turns.NewOwner(p.table.Self(), store, p.client, s.StorePartitions, events)
+	p.owner.SetLimits(turnLimits(s))
 	p.client.SetOwner(p.owner)
 	var err error
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
@@ -139,11 +144,26 @@
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
 		Replicas: p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
-		Quarantine: p.quarantine, Events: events,
+		Quarantine: p.quarantine, Events: events, MemoryBytes: int64(requestMemoryShare * float64(s.MemoryMB) * (1 << 20)),
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
 }
 
+// turnLimits returns the limits of the owner of turns. Settings that are missing keep their default.
+func turnLimits(s platform.Settings) turns.Limits {
+	limits := turns.DefaultLimits()
+	if s.RecordBytes > 0 {
+		limits.RecordBytes = s.RecordBytes
+	}
+	if s.AppendBytes > 0 {
+		limits.AppendBytes = s.AppendBytes
+	}
+	if s.MemoryMB > 0 {
+		limits.ContentBytes = int(contentMemoryShare * float64(s.MemoryMB) * (1 << 20))
+	}
+	return limits
+}
+
 // run serves requests until ctx ends, then drains.
 func (p *gatewayProcess) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -20,6 +20,8 @@
 	TurnsLoadFailed      = define(1731, logrus.WarnLevel, "turns of a partition could not be loaded")
 	TurnRecordInvalid    = define(1732, logrus.ErrorLevel, "turn record is invalid and was ignored")
 	TurnsAppendFailed    = define(1736, logrus.WarnLevel, "turns of a partition could not be appended to the store")
+	TurnRejected         = define(1738, logrus.ErrorLevel, "turn was rejected by the store and cannot be continued")
+	HistoryUnavailable   = define(1739, logrus.WarnLevel, "history of a turn could not be read from the store")
 	TurnsSweepFailed     = define(1737, logrus.WarnLevel, "expired turns of a partition could not be removed")
 	ReservationExceeded  = define(1706, logrus.WarnLevel, "stream was cut because it exceeds the tokens reserved for it")
 	StreamResumed        = define(1705, logrus.InfoLevel, "stream was resumed after its connection to the replica broke")
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -44,16 +43,8 @@
 	}
 	x.deadline = x.start.Add(x.timeout())
 	x.limitConnection(x.deadline)
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		switch {
-		case errors.As(err, &tooLarge):
-			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
-		}
-		return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
+	if f := x.readBody(r, limit); f != nil {
+		return f
 	}
 	// The server keeps reading to notice that the caller disconnects.
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
@@ -67,6 +58,34 @@
 	return x.admitRate(r.Context())
 }
 
+// readBody reads the body of the request, of at most limit bytes.
+func (x *exchange) readBody(r *http.Request, limit int64) *refusal {
+	tooLong := &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+	if r.ContentLength > limit {
+		return tooLong
+	}
+	x.memory.account = x.accountName()
+	var err error
+	x.body, err = readBody(http.MaxBytesReader(x.w, r.Body, limit), r.ContentLength, &x.memory)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return tooLong
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
+	case errors.Is(err, errNoMemory):
+		return refuseNoMemory()
+	}
+	return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
+}
+
+// refuseNoMemory refuses a request that would exceed the memory for long requests.
+func refuseNoMemory() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "too many long requests in progress", retryAfter: retryMemory}
+}
+
 // refuseQuarantined refuses a request that crashes the replicas which run it.
 func (x *exchange) refuseQuarantined() *refusal {
 	if !x.g.quarantine.HasSuspects() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,6 +25,8 @@
 	account *route.Account
 	service *route.Service
 	body    []byte
+	// memory is what is reserved for a long body and a long history.
+	memory reservation
 	// digests are computed when they are first needed; nil before.
 	digests  *quarantine.Request
 	deadline time.Time
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,9 @@
 // Turns stores the turns of programs; see turns.Client.
 type Turns interface {
 	Begin(ctx context.Context, args turns.BeginArgs) (reply turns.BeginReply, flattened bool)
-	End(ctx context.Context, t turns.Turn) bool
+	End(ctx context.Context, t turns.Turn) turns.EndReply
+	// PieceBytes is the size of the contents of a turn that End accepts.
+	PieceBytes() int
 }
 
 // Gateway serves callers' requests. It implements http.Handler.
@@ -35,6 +37,8 @@
 	sender   *relay.Sender
 	turns    Turns
 	events   *event.Logger
+	// memory limits the long bodies and histories of the requests in progress.
+	memory *memoryBudget
 	// quarantine holds the requests that crash replicas, which crashes detects.
 	quarantine *quarantine.Table
 	crashes    *crashDetector
@@ -57,6 +61,9 @@
 	Pacing   *pacing.Client
 	Sender   *relay.Sender
 	Turns    Turns
+	// MemoryBytes limits the total size of the long bodies and histories of the requests in
+	// progress; 0 means a default.
+	MemoryBytes int64
 	// Quarantine holds the requests that crash replicas.
 	Quarantine *quarantine.Table
 	Events     *event.Logger
@@ -67,7 +74,7 @@
 // New returns a gateway that uses the given dependencies.
 func New(deps Dependencies) *Gateway {
 	return &Gateway{codec: deps.Codec, config: deps.Config, quota: deps.Quota, costs: deps.Costs, replicas: deps.Replicas, pacing: deps.Pacing,
-		sender: deps.Sender, turns: deps.Turns, events: deps.Events,
+		sender: deps.Sender, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
 		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
 }
@@ -85,7 +92,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	x := &exchange{g: g, w: w, start: time.Now()}
+	x := &exchange{g: g, w: w, start: time.Now(), memory: reservation{budget: g.memory}}
+	defer x.memory.release()
 	defer func() {
 		cause := recover()
 		if cause != nil && cause != http.ErrAbortHandler {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -23,6 +23,8 @@
 	retryOtherHost = 20 * time.Millisecond
 	// retrySoon: a replica or a partition owner is expected to answer again shortly.
 	retrySoon = 100 * time.Millisecond
+	// retryMemory: long requests in progress end within a few seconds.
+	retryMemory = 500 * time.Millisecond
 	// retryStoreOutage: no host reaches the store, whose outages last seconds.
 	retryStoreOutage = time.Second
 )
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -65,7 +65,13 @@
 
 // relayRequest sends a request of another host to a replica and passes the answer back.
 func (g *Gateway) relayRequest(w http.ResponseWriter, r *http.Request, received relay.Received, record replica.Record, asked boottime.Instant) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRelayedBody))
+	memory := reservation{budget: g.memory}
+	defer memory.release()
+	var body []byte
+	err := errNoMemory
+	if r.ContentLength <= maxRelayedBody {
+		body, err = readBody(http.MaxBytesReader(w, r.Body, maxRelayedBody), r.ContentLength, &memory)
+	}
 	// A host that was paused meanwhile must not send what is no longer wanted.
 	remaining := received.Remaining - boottime.Since(asked)
 	if err != nil || remaining < minAttemptTime {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/http"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/replica"
 	"cowslipgw/internal/route"
@@ -17,6 +20,8 @@
 	settleTimeout = 60 * time.Second
 	// settleRetryDelay is the delay between two attempts of a settlement.
 	settleRetryDelay = 200 * time.Millisecond
+	// maxPiecesInFlight is the number of pieces of a long turn that are stored at the same time.
+	maxPiecesInFlight = 3
 	// defaultRetention is how long spending is recorded on routes without a retention time.
 	defaultRetention = time.Minute
 	// prefillTokensPerMS is the approximate number of prompt tokens that an engine reads in
@@ -34,8 +39,10 @@
 
 // turn is a turn in progress. The methods of a nil turn store nothing.
 type turn struct {
-	x              *exchange
-	record         turns.Turn
+	x      *exchange
+	record turns.Turn
+	// history is stored before the input if the previous turn is not one of the program's own.
+	history        []byte
 	tokensPerEvent int
 }
 
@@ -56,17 +63,18 @@
 
 // serveTurn serves a request that is a turn of a program.
 func (x *exchange) serveTurn(ctx context.Context) {
-	program := x.call.Program
+	id := turns.Key(x.call.ID)
+	program := turns.Key(x.call.Program)
 	if program == "" {
-		program = x.call.ID
+		program = id
 	}
-	args := turns.BeginArgs{Account: x.accountName(), Program: program, Session: x.call.Session, Turn: x.call.ID,
+	args := turns.BeginArgs{Account: x.accountName(), Program: program, Session: turns.Key(x.call.Session), Turn: id,
 		Budget: x.call.Budget, MaxTokens: x.call.MaxTokens, RetentionMS: x.retention().Milliseconds()}
 	if x.route.StoresTurns {
-		args.Parent = x.call.PreviousTurn
+		args.Parent = turns.Key(x.call.PreviousTurn)
 	}
 	t := &turn{x: x, tokensPerEvent: 1, record: turns.Turn{ID: args.Turn, Parent: args.Parent, Account: args.Account,
-		Program: program, Session: x.call.Session}}
+		Program: program, Session: args.Session}}
 	if x.route.StoresTurns {
 		t.record.Input = x.body
 	}
@@ -80,9 +88,13 @@
 		x.refuse(*f)
 		return
 	}
+	if !x.memory.grow(int64(len(begun.Chain))) {
+		t.close(streamResult{})
+		x.refuse(*refuseNoMemory())
+		return
+	}
 	if flattened {
-		t.record.Parent = ""
-		t.record.Input = append(append([]byte(nil), begun.Chain...), x.body...)
+		t.record.Parent, t.history = "", begun.Chain
 	}
 	if x.service.Engine != nil {
 		t.tokensPerEvent = max(x.service.Engine.TokensPerEvent, 1)
@@ -124,6 +136,8 @@
 	case turns.ForeignParent:
 		// The caller must not learn that the turn exists.
 		return &refusal{status: http.StatusNotFound, reason: noSuchTurn, detail: "turn belongs to another client account"}
+	case turns.HistoryTooLong:
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "history of the program is too long"}
 	default:
 		return g.refuseUnavailable("state of the program is not available", retrySoon)
 	}
@@ -163,8 +177,8 @@
 	ended := time.Now()
 	defer func() { t.x.storeTime = time.Since(ended) }()
 	select {
-	case <-t.settle():
-		return true
+	case stored := <-t.settle():
+		return stored
 	case <-ctx.Done():
 		t.x.g.events.Log(event.TurnStoreTimeout, event.Fields{"request": t.record.ID})
 		return false
@@ -178,31 +192,66 @@
 		return
 	}
 	t.record.State = turns.Closed
-	t.record.Input = nil
+	t.record.Input, t.history = nil, nil
 	t.record.Tokens = s.events * t.tokensPerEvent
 	t.settle()
 }
 
-// settle retries the settlement until the turn is stored. The returned channel is closed
-// then.
-func (t *turn) settle() <-chan struct{} {
+// settle retries the settlement until the turn is stored, in pieces if it is long. The returned
+// channel receives whether that succeeded.
+func (t *turn) settle() <-chan bool {
 	g := t.x.g
 	record := t.record
 	record.Expiry = time.Now().Add(t.x.retention()).UnixMilli()
-	stored := make(chan struct{})
+	stored := make(chan bool, 1)
 	g.settling.Add(1)
 	go func() {
 		defer g.settling.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		for !g.turns.End(ctx, record) {
-			if ctx.Err() != nil {
-				g.events.Log(event.TurnStoreFailed, event.Fields{"request": record.ID, "program": record.Program})
-				return
-			}
-			time.Sleep(settleRetryDelay)
+		err := g.settlePieces(ctx, record, t.history)
+		if err != nil {
+			g.events.Log(event.TurnStoreFailed, event.Fields{"request": record.ID, "program": record.Program, "error": err.Error()})
 		}
-		close(stored)
+		stored <- err == nil
 	}()
 	return stored
 }
+
+// errNotSettled is returned if a turn could not be stored in time, or is stored at no time.
+var errNotSettled = errors.New("turn is not stored")
+
+// settlePieces stores a turn. Its last piece follows when the store has all others.
+func (g *Gateway) settlePieces(ctx context.Context, record turns.Turn, history []byte) error {
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.SetLimit(maxPiecesInFlight)
+	for piece := range turns.Pieces(record, history, g.turns.PieceBytes()) {
+		if piece.ID != record.ID {
+			group.Go(func() error { return g.settlePiece(groupCtx, piece) })
+			continue
+		}
+		if err := group.Wait(); err != nil {
+			return err
+		}
+		return g.settlePiece(ctx, piece)
+	}
+	return group.Wait()
+}
+
+// settlePiece retries the settlement of one piece of a turn until it is stored.
+func (g *Gateway) settlePiece(ctx context.Context, piece turns.Turn) error {
+	for {
+		reply := g.turns.End(ctx, piece)
+		switch {
+		case reply.Kept:
+			return nil
+		case reply.Rejected:
+			return errNotSettled
+		}
+		select {
+		case <-time.After(settleRetryDelay):
+		case <-ctx.Done():
+			return errNotSettled
+		}
+	}
+}
--- a/internal/storelog/log.go
+++ b/internal/storelog/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -12,8 +13,13 @@
 	ErrConflict = errors.New("partition does not end at the expected offset")
 	// ErrTrimmed means that some of the requested records are no longer retained.
 	ErrTrimmed = errors.New("records have been trimmed")
+	// ErrNotFound means that a key has no record.
+	ErrNotFound = errors.New("no such record")
 	// ErrUnavailable means that the store refused the call and did not execute it.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrRejected is an ErrUnavailable that repeating the call does not change: one of the records
+	// is malformed or too long.
+	ErrRejected = fmt.Errorf("%w: records rejected", ErrUnavailable)
 	// ErrUnknown means that no response arrived; the call may take effect, even later.
 	ErrUnknown = errors.New("outcome unknown")
 )
@@ -54,6 +60,9 @@
 	// Read returns the records from an offset on and the partition's end. If there are
 	// none, it waits up to wait for the first one.
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration) ([]Record, int64, error)
+	// At returns the record with an offset. It reads about limit bytes, which the record must not
+	// exceed.
+	At(ctx context.Context, p Partition, offset int64, limit int) (Record, error)
 	// Newest returns a page of the newest record of each key, starting after the given
 	// key.
 	Newest(ctx context.Context, p Partition, after string) (Page, error)
@@ -82,10 +91,17 @@
 			}
 			return Follow(ctx, log, p, start, apply)
 		}
-		after = page.Records[len(page.Records)-1].Key
+		last := page.Records[len(page.Records)-1].Key
+		if last <= after {
+			return 0, errNoProgress
+		}
+		after = last
 	}
 }
 
+// errNoProgress is returned if a page of a listing does not continue the one before.
+var errNoProgress = errors.New("listing of records makes no progress")
+
 // Follow calls apply for all records from an offset to the partition's end and returns the
 // end. After ErrTrimmed the caller must load the partition again.
 func Follow(ctx context.Context, log Log, p Partition, from int64, apply func(Record)) (int64, error) {
@@ -106,3 +122,30 @@
 		}
 	}
 }
+
+// Lookup returns the newest record of a key.
+func Lookup(ctx context.Context, log Log, p Partition, key string) (Record, error) {
+	if key == "" {
+		return Record{}, ErrNotFound
+	}
+	// Only keys that share the prefix lie between it and the key.
+	for after := key[:len(key)-1]; ; {
+		page, err := log.Newest(ctx, p, after)
+		if err != nil {
+			return Record{}, err
+		}
+		for _, r := range page.Records {
+			if r.Key == key {
+				return r, nil
+			}
+		}
+		if !page.More || len(page.Records) == 0 {
+			return Record{}, ErrNotFound
+		}
+		last := page.Records[len(page.Records)-1].Key
+		if last >= key || last <= after {
+			return Record{}, ErrNotFound
+		}
+		after = last
+	}
+}
--- a/internal/storelog/memory.go
+++ b/internal/storelog/memory.go
@@ -95,6 +95,19 @@
 	}
 }
 
+// At implements Log.
+func (m *Memory) At(_ context.Context, p Partition, offset int64, _ int) (Record, error) {
+	if fault, _ := m.injectedFault("read", p); fault != nil {
+		return Record{}, fault
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if offset < 0 || offset >= int64(len(m.partitions[p])) {
+		return Record{}, ErrTrimmed
+	}
+	return m.partitions[p][offset], nil
+}
+
 // Newest implements Log. It returns all records in one page.
 func (m *Memory) Newest(_ context.Context, p Partition, after string) (Page, error) {
 	if fault, _ := m.injectedFault("newest", p); fault != nil {
--- a/internal/turns/append.go
+++ b/internal/turns/append.go
@@ -18,6 +18,19 @@
 	hedgeMultiple = 4
 )
 
+// transferRate is the number of bytes of an append that reach the store in a millisecond over a
+// slow link.
+const transferRate = 2000
+
+// transferTime returns how long the records of an append are under way.
+func transferTime(records []storelog.Record) time.Duration {
+	size := 0
+	for _, r := range records {
+		size += len(r.Value)
+	}
+	return time.Duration(size/transferRate) * time.Millisecond
+}
+
 // appendResult is the outcome of one append.
 type appendResult struct {
 	end int64
@@ -40,7 +53,7 @@
 		outcomes <- appendResult{end, err}
 	}
 	go try()
-	hedge := time.NewTimer(max(hedgeMin, hedgeMultiple*o.appendTime.Mean()))
+	hedge := time.NewTimer(max(hedgeMin, hedgeMultiple*o.appendTime.Mean()) + transferTime(records))
 	defer hedge.Stop()
 	var failure error
 	for started, finished := 1, 0; finished < started; {
@@ -50,7 +63,7 @@
 			go try()
 		case got := <-outcomes:
 			finished++
-			if got.err == nil || errors.Is(got.err, storelog.ErrConflict) {
+			if got.err == nil || errors.Is(got.err, storelog.ErrConflict) || errors.Is(got.err, storelog.ErrRejected) {
 				return got.end, got.err
 			}
 			// ErrUnavailable from one append says nothing about the outcome of the other.
--- a/internal/turns/append_test.go
+++ b/internal/turns/append_test.go
@@ -70,7 +70,7 @@
 			for n := range 10 {
 				id := "t" + strconv.Itoa(n)
 				start := time.Now()
-				is.True(o.End(deadline(t, time.Second), ended(id, parent, 10)))
+				is.True(o.End(deadline(t, time.Second), ended(id, parent, 10)).Kept)
 				is.True(time.Since(start) <= hedge)
 				parent, chain = id, chain+"in-"+id+";out-"+id+"\n"
 			}
@@ -98,7 +98,7 @@
 		})
 		o := newOwner(log, nil)
 		for n := range 10 {
-			is.True(o.End(deadline(t, 2*time.Second), ended("t"+strconv.Itoa(n), "", 10)))
+			is.True(o.End(deadline(t, 2*time.Second), ended("t"+strconv.Itoa(n), "", 10)).Kept)
 		}
 		is.True(appends.Load() <= 12)
 		time.Sleep(time.Second)
@@ -140,10 +140,10 @@
 	log.SetFault(down)
 	before := log.records.Load()
 	for range 20 {
-		is.True(!o.End(deadline(t, 5*time.Millisecond), ended("t0", "", 10)))
+		is.True(!o.End(deadline(t, 5*time.Millisecond), ended("t0", "", 10)).Kept)
 	}
 	log.SetFault(nil)
-	is.True(o.End(deadline(t, time.Second), ended("t0", "", 10)))
+	is.True(o.End(deadline(t, time.Second), ended("t0", "", 10)).Kept)
 	is.Equal(log.records.Load()-before, int64(1))
 }
 
@@ -157,7 +157,7 @@
 	args := turns.BeginArgs{Account: "a", Program: "p", Turn: "t1", MaxTokens: 100, RetentionMS: 60_000}
 	is.Equal(slow.Begin(deadline(t, 50*time.Millisecond), args).Outcome, turns.Unavailable)
 	fast := newOwner(log, nil)
-	is.True(fast.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(fast.End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	close(gate)
 	is.Equal(begin(t, slow, "t2", "t1", 0).Outcome, turns.Granted)
 	fresh := newOwner(log, nil)
--- a/internal/turns/branch_test.go
+++ b/internal/turns/branch_test.go
@@ -32,7 +32,7 @@
 	if reply.Detached && !h.earlier {
 		turn.Parent, turn.Input = "", append(append([]byte(nil), reply.Chain...), turn.Input...)
 	}
-	if !h.owner.End(deadline(t, time.Second), turn) {
+	if !h.owner.End(deadline(t, time.Second), turn).Kept {
 		t.Fatalf("turn %s was not stored", id)
 	}
 	return string(reply.Chain)
@@ -81,7 +81,7 @@
 		time.Sleep(74 * time.Second)
 		is.Equal(begin(t, o.Owner, "t1", "t0", 0).Outcome, turns.Granted)
 		time.Sleep(20 * time.Second)
-		is.True(o.End(deadline(t, time.Second), ended("t1", "t0", 10)))
+		is.True(o.End(deadline(t, time.Second), ended("t1", "t0", 10)).Kept)
 		is.Equal(string(begin(t, o.Owner, "t2", "t1", 0).Chain), chainOf(2))
 		// A turn that may be removed before another one ends is not continued.
 		time.Sleep(80 * time.Second)
--- a/internal/turns/budget_test.go
+++ b/internal/turns/budget_test.go
@@ -105,7 +105,7 @@
 	go func() { // retried until it is stored, as hosts do
 		for range 100 {
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-			kept := r.owners[0].End(ctx, turn)
+			kept := r.owners[0].End(ctx, turn).Kept
 			cancel()
 			if kept {
 				return
--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -10,6 +10,8 @@
 	preallocation int
 	// done is closed when the change is stored or withdrawn.
 	done chan struct{}
+	// rejected is set if the store accepts the change at no time.
+	rejected bool
 	// withdrawn is set if another owner has used up the budget meanwhile.
 	withdrawn bool
 	// sent is set while an append of the change is in flight or has an unknown outcome;
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -20,6 +20,9 @@
 	// ownerAnswers is the number of the store's answers that an owner may need for a call: to the
 	// append under way, to its own append, and to a read after a conflict.
 	ownerAnswers = 3
+	// maxChain is the length of the part of a history that one reply contains, in bytes. Calls
+	// that share the connection wait for it, over a slow link for 0.1 s.
+	maxChain = 512 << 10
 	// replyMargin is how long before the limit an owner replies in any case, so that an owner
 	// that waits for the store is not mistaken for an unreachable one.
 	replyMargin = 100 * time.Millisecond
@@ -81,19 +84,43 @@
 	if reply.Outcome != UnknownParent {
 		return reply, reply.Detached
 	}
-	found := c.locate(ctx, LocateArgs{Account: args.Account, Turn: args.Parent})
+	found := c.locate(ctx, LocateArgs{Account: args.Account, Turn: args.Parent, MaxChain: maxChain})
 	if found.Outcome != Located {
 		return BeginReply{Outcome: found.Outcome}, false
 	}
 	args.Parent = ""
 	reply = c.begin(ctx, args)
-	reply.Chain, reply.Replica = found.Chain, found.Replica
+	reply.Chain, reply.ChainBytes, reply.Replica = found.Chain, found.ChainBytes, found.Replica
 	return reply, true
 }
 
+// completeChain returns the whole history of a turn, of which h has replied with the beginning. It
+// returns false if the rest is not available.
+func (c *Client) completeChain(ctx context.Context, h peers.Host, account, turn string, chain []byte, size int) ([]byte, bool) {
+	if size <= len(chain) {
+		return chain, true // hosts of earlier builds reply with all of it
+	}
+	all := append(make([]byte, 0, size), chain...)
+	for len(all) < size {
+		args := HistoryArgs{Account: account, Turn: turn, From: len(all), Limit: maxChain}
+		var got HistoryReply
+		attempt, cancel := context.WithTimeout(ctx, c.ownerTimeout())
+		args.WaitMS = remainingMS(attempt)
+		err := c.callHost(attempt, h, "History", args, &got, func() { got = c.owner.History(attempt, args) })
+		cancel()
+		if err != nil || !got.Found || len(got.Chain) == 0 {
+			return nil, false
+		}
+		all = append(all, got.Chain...)
+	}
+	return all, true
+}
+
 func (c *Client) begin(ctx context.Context, args BeginArgs) BeginReply {
 	reply := BeginReply{Outcome: Unavailable}
 	uncertain := false
+	args.MaxChain = maxChain
+	var owner peers.Host
 	c.tryCandidates(ctx, PartitionOf(args.Account, args.Program), func(ctx context.Context, h peers.Host) (bool, error) {
 		// Use a separate reply for each call: a late one must not overwrite the next
 		// owner's.
@@ -104,27 +131,36 @@
 			uncertain = true
 			return false, err
 		}
-		reply = got
+		reply, owner = got, h
 		uncertain = uncertain || got.Uncertain
 		return reply.Outcome != Unavailable, nil
 	})
+	if reply.Outcome == Granted {
+		var complete bool
+		if reply.Chain, complete = c.completeChain(ctx, owner, args.Account, args.Parent, reply.Chain, reply.ChainBytes); !complete {
+			return BeginReply{Outcome: Unavailable, Uncertain: true}
+		}
+	}
 	reply.Uncertain = uncertain && reply.Outcome == Unavailable
 	return reply
 }
 
-// End settles a turn at one of its owners. It reports whether the turn is stored.
-func (c *Client) End(ctx context.Context, t Turn) bool {
-	kept := false
+// PieceBytes returns the size of the contents of a turn that End accepts, in bytes.
+func (c *Client) PieceBytes() int { return c.owner.limits.pieceBytes() }
+
+// End settles a turn at one of its owners.
+func (c *Client) End(ctx context.Context, t Turn) EndReply {
+	var reply EndReply
 	c.tryCandidates(ctx, PartitionOf(t.Account, t.Program), func(ctx context.Context, h peers.Host) (bool, error) {
 		var got EndReply
-		err := c.callHost(ctx, h, "End", EndArgs{Turn: t, WaitMS: remainingMS(ctx)}, &got, func() { got.Kept = c.owner.End(ctx, t) })
+		err := c.callHost(ctx, h, "End", EndArgs{Turn: t, WaitMS: remainingMS(ctx)}, &got, func() { got = c.owner.End(ctx, t) })
 		if err != nil {
 			return false, err
 		}
-		kept = got.Kept
-		return kept, nil
+		reply = got
+		return reply.Kept || reply.Rejected, nil
 	})
-	return kept
+	return reply
 }
 
 // remainingMS returns the time until the deadline of ctx in milliseconds; 0 if it has none.
@@ -171,27 +207,38 @@
 
 // locate asks the owners of all partitions for a turn. The outcome is UnknownParent only if
 // the hosts that answered have the complete state of all partitions between them.
-func (c *Client) locate(ctx context.Context, args LocateArgs) LocateReply {
-	ctx, cancel := context.WithTimeout(ctx, c.ownerTimeout())
+func (c *Client) locate(callerCtx context.Context, args LocateArgs) LocateReply {
+	ctx, cancel := context.WithTimeout(callerCtx, c.ownerTimeout())
 	defer cancel()
 	args.WaitMS = remainingMS(ctx)
 	hosts := c.owners()
-	replies := make(chan LocateReply, len(hosts))
+	type located struct {
+		LocateReply
+		host peers.Host
+	}
+	replies := make(chan located, len(hosts))
 	for _, h := range hosts {
 		go func() {
 			var got LocateReply
 			if c.callHost(ctx, h, "Locate", args, &got, func() { got = c.owner.Locate(ctx, args, c.Owns) }) != nil {
-				replies <- LocateReply{Outcome: Unavailable}
-				return
+				got = LocateReply{Outcome: Unavailable}
 			}
-			replies <- got
+			replies <- located{got, h}
 		}()
 	}
 	certain := uint64(0)
 	for range hosts {
 		reply := <-replies
-		if reply.Outcome == Located || reply.Outcome == ForeignParent {
-			return reply
+		switch reply.Outcome {
+		case ForeignParent, HistoryTooLong:
+			return reply.LocateReply
+		case Located:
+			chain, complete := c.completeChain(callerCtx, reply.host, args.Account, args.Turn, reply.Chain, reply.ChainBytes)
+			if !complete {
+				return LocateReply{Outcome: Unavailable}
+			}
+			reply.Chain = chain
+			return reply.LocateReply
 		}
 		certain |= reply.Certain
 	}
--- /dev/null
+++ b/internal/turns/export_test.go
@@ -0,0 +1,12 @@
+package turns
+
+// ContentInMemory returns the total size of the contents that the owner keeps in memory, in bytes.
+func (o *Owner) ContentInMemory() int {
+	o.contents.mu.Lock()
+	defer o.contents.mu.Unlock()
+	total := 0
+	for _, element := range o.contents.entries {
+		total += element.Value.(*contentEntry).content.size()
+	}
+	return total
+}
--- a/internal/turns/grant_test.go
+++ b/internal/turns/grant_test.go
@@ -74,7 +74,7 @@
 	first := newOwner(log, nil)
 	second := newOwner(log, first)
 	is.Equal(begin(t, first, "t1", "", 250).Outcome, turns.Granted)
-	is.True(second.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(second.End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	is.Equal(begin(t, second, "t2", "t1", 250).Outcome, turns.Granted)
 	is.Equal(begin(t, second, "t3", "t1", 250).Outcome, turns.Granted)
 	is.Equal(begin(t, second, "t4", "t1", 250).Outcome, turns.Exhausted)
@@ -91,9 +91,9 @@
 		owner = newOwner(log, owner)
 		is.Equal(begin(t, owner, "t"+strconv.Itoa(n+1), "", 1000).Outcome, turns.Granted)
 		time.Sleep(20 * time.Millisecond)
-		is.True(owner.End(deadline(t, time.Second), ended("t"+strconv.Itoa(n), "", 0)))
+		is.True(owner.End(deadline(t, time.Second), ended("t"+strconv.Itoa(n), "", 0)).Kept)
 	}
-	is.True(owner.End(deadline(t, time.Second), ended("t4", "", 0)))
+	is.True(owner.End(deadline(t, time.Second), ended("t4", "", 0)).Kept)
 	last := newOwner(log, nil)
 	is.True(grantAll(t, 1000, last) >= 900) // one preallocation is left
 }
@@ -107,11 +107,11 @@
 	second := newOwner(log, first)
 	is.Equal(begin(t, first, "t1", "", 250).Outcome, turns.Granted)
 	is.Equal(begin(t, first, "ahead", "", 250).Outcome, turns.Granted) // no record is written
-	is.True(second.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(second.End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	is.Equal(begin(t, second, "t2", "t1", 250).Outcome, turns.Granted)
 	is.Equal(begin(t, second, "t3", "t1", 250).Outcome, turns.Exhausted)
 	is.Equal(begin(t, first, "t4", "", 250).Outcome, turns.Exhausted) // the release binds first, too
-	is.True(second.End(deadline(t, time.Second), ended("ahead", "", 20)))
+	is.True(second.End(deadline(t, time.Second), ended("ahead", "", 20)).Kept)
 	is.Equal(begin(t, second, "t5", "t1", 250).Outcome, turns.Granted)
 }
 
@@ -130,7 +130,7 @@
 	close(gate)
 	failed := ended("refused", "", 0)
 	failed.State, failed.Input, failed.Output = turns.Closed, nil, nil
-	is.True(o.End(deadline(t, time.Second), failed))
+	is.True(o.End(deadline(t, time.Second), failed).Kept)
 	args.Turn = "next"
 	is.Equal(o.Begin(deadline(t, time.Second), args).Outcome, turns.Granted)
 }
@@ -151,7 +151,7 @@
 		log := storelog.NewMemory()
 		first := newOwner(log, nil)
 		is.Equal(begin(t, first, "first", "", 600).Outcome, turns.Granted)
-		is.True(first.End(deadline(t, time.Second), ended("first", "", 100)))
+		is.True(first.End(deadline(t, time.Second), ended("first", "", 100)).Kept)
 		second := turns.NewOwner(peers.Host{ID: "s", Incarnation: 1}, log, terminatedPeers{}, 8, event.Discard())
 		is.Equal(grantAll(t, 600, second), 400) // 100 used, 100 preallocated to the first
 		time.Sleep(6 * time.Second)             // the settlement grace period is over
@@ -182,7 +182,7 @@
 	for n := range 20 { // 20 turns of 10 tokens in a budget of 400
 		id := "t" + strconv.Itoa(n)
 		is.Equal(begin(t, o, id, parent, 400).Outcome, turns.Granted)
-		is.True(o.End(deadline(t, time.Second), ended(id, parent, 10)))
+		is.True(o.End(deadline(t, time.Second), ended(id, parent, 10)).Kept)
 		parent = id
 	}
 }
@@ -194,7 +194,7 @@
 	log := storelog.NewMemory()
 	o := newOwner(log, nil)
 	is.Equal(begin(t, o, "t0", "", 300).Outcome, turns.Granted)
-	is.True(o.End(deadline(t, time.Second), ended("t0", "", 0)))
+	is.True(o.End(deadline(t, time.Second), ended("t0", "", 0)).Kept)
 	log.SetFault(down)
 	is.Equal(begin(t, o, "ahead", "", 300).Outcome, turns.Granted)
 	for n := range 3 {
@@ -244,7 +244,7 @@
 	log := storelog.NewMemory()
 	o := newOwner(log, nil)
 	is.Equal(begin(t, o, "t0", "", 2000).Outcome, turns.Granted)
-	is.True(o.End(deadline(t, time.Second), ended("t0", "", 50)))
+	is.True(o.End(deadline(t, time.Second), ended("t0", "", 50)).Kept)
 	log.SetFault(down)
 	for n := range 4 {
 		is.Equal(begin(t, o, "t"+strconv.Itoa(n+1), "", 2000).Outcome, turns.Granted)
@@ -262,7 +262,7 @@
 		log := &slowLog{Memory: storelog.NewMemory(), delay: slow}
 		o := newOwner(log, nil)
 		is.Equal(begin(t, o, "t0", "", 2000).Outcome, turns.Granted)
-		is.True(o.End(deadline(t, time.Second), ended("t0", "", 50)))
+		is.True(o.End(deadline(t, time.Second), ended("t0", "", 50)).Kept)
 		start := time.Now()
 		for n := range 3 {
 			is.Equal(begin(t, o, "agent"+strconv.Itoa(n), "t0", 2000).Outcome, turns.Granted)
--- a/internal/turns/handover_test.go
+++ b/internal/turns/handover_test.go
@@ -34,7 +34,7 @@
 		parent = "t" + strconv.Itoa(n-1)
 	}
 	reply := begin(t, o.Owner, id, parent, budget)
-	if reply.Outcome == turns.Granted && !o.End(deadline(t, time.Second), ended(id, parent, 100)) {
+	if reply.Outcome == turns.Granted && !o.End(deadline(t, time.Second), ended(id, parent, 100)).Kept {
 		t.Fatalf("turn %s was not stored", id)
 	}
 	return reply
@@ -92,7 +92,7 @@
 		use := func(o *switchedOwner) {
 			id := "line" + strconv.Itoa(n)
 			if begin(t, o.Owner, id, "", budget).Outcome == turns.Granted {
-				is.True(o.End(deadline(t, time.Second), ended(id, "", 100)))
+				is.True(o.End(deadline(t, time.Second), ended(id, "", 100)).Kept)
 				granted += 100
 				n++
 			}
@@ -124,7 +124,7 @@
 		log := storelog.NewMemory()
 		paused := newOwner(log, nil)
 		is.Equal(begin(t, paused, "t0", "", 0).Outcome, turns.Granted)
-		is.True(paused.End(deadline(t, time.Second), ended("t0", "", 100)))
+		is.True(paused.End(deadline(t, time.Second), ended("t0", "", 100)).Kept)
 		second := newSwitchedOwner(ctx, log, true)
 		for n := 1; n <= 4; n++ {
 			time.Sleep(30 * time.Second)
@@ -146,13 +146,13 @@
 		log := storelog.NewMemory()
 		first := newSwitchedOwner(ctx, log, true)
 		is.Equal(begin(t, first.Owner, "t0", "", 900).Outcome, turns.Granted)
-		is.True(first.End(deadline(t, time.Second), ended("t0", "", 100)))
+		is.True(first.End(deadline(t, time.Second), ended("t0", "", 100)).Kept)
 		is.Equal(begin(t, first.Owner, "open1", "", 900).Outcome, turns.Granted)
 		is.Equal(begin(t, first.Owner, "open2", "", 900).Outcome, turns.Granted)
 		// Another program of the partition expires, so that the host drops the partition.
 		other := ended("x", "", 1)
 		other.Expiry = time.Now().Add(-time.Minute).UnixMilli()
-		is.True(first.End(deadline(t, time.Second), other))
+		is.True(first.End(deadline(t, time.Second), other).Kept)
 		first.isFirst = false
 		time.Sleep(10 * time.Second)
 		first.isFirst = true
--- a/internal/turns/locate_stale_test.go
+++ b/internal/turns/locate_stale_test.go
@@ -35,7 +35,7 @@
 		isHome := func(partition int) bool { return partition == home }
 		go restarted.Preload(t.Context(), isHome)
 		time.Sleep(50 * time.Millisecond)
-		is.True(newOwner(log, nil).End(deadline(t, time.Second), ended("t1", "", 10)))
+		is.True(newOwner(log, nil).End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 		reply := restarted.Locate(deadline(t, time.Second), turns.LocateArgs{Account: "a", Turn: "t1"}, isHome)
 		is.Equal(reply.Outcome, turns.Located)
 	})
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -17,6 +17,8 @@
 	ForeignParent
 	// Located: the turn was found.
 	Located
+	// HistoryTooLong: the history is longer than hosts pass on.
+	HistoryTooLong
 )
 
 // BeginArgs requests that an owner begin a turn.
@@ -36,13 +38,19 @@
 	// WaitMS is how long the caller waits for the reply, in milliseconds; 0 in calls of hosts
 	// that do not say so.
 	WaitMS int64
+	// MaxChain is the number of bytes of the history that the reply may contain; 0 means all of
+	// it, as hosts of earlier builds need.
+	MaxChain int
 }
 
 // BeginReply is the response to BeginArgs.
 type BeginReply struct {
 	Outcome Outcome
-	// Chain is the history that the engine reads before the new input.
-	Chain []byte
+	// Chain is the beginning of the history that the engine reads before the new input, and
+	// ChainBytes the length of the whole; 0 in replies of earlier builds, which contain all of
+	// it. HistoryArgs requests the rest.
+	Chain      []byte
+	ChainBytes int
 	// Replica is the replica that ran the parent or, without one, the session's last turn.
 	Replica string
 	// Detached is set if the parent belongs to another program, which may expire earlier. The
@@ -63,8 +71,13 @@
 	WaitMS int64
 }
 
-// EndReply is the response to EndArgs. Kept reports whether the turn is stored.
-type EndReply struct{ Kept bool }
+// EndReply is the response to EndArgs.
+type EndReply struct {
+	// Kept reports whether the turn is stored.
+	Kept bool
+	// Rejected is set if the store accepts the turn at no time. It cannot be continued.
+	Rejected bool
+}
 
 // LocateArgs asks a host whether it has a turn of an account.
 type LocateArgs struct {
@@ -73,17 +86,35 @@
 	// WaitMS is how long the caller waits for the reply, in milliseconds; 0 in calls of hosts
 	// that do not say so.
 	WaitMS int64
+	// MaxChain is the same as in BeginArgs.
+	MaxChain int
 }
 
-// LocateReply is the response to LocateArgs.
+// LocateReply is the response to LocateArgs. Chain and ChainBytes are the same as in BeginReply.
 type LocateReply struct {
-	Outcome Outcome
-	Chain   []byte
-	Replica string
+	Outcome    Outcome
+	Chain      []byte
+	ChainBytes int
+	Replica    string
 	// Certain is a bit set of the partitions whose complete state the host has read.
 	Certain uint64
 }
 
+// HistoryArgs requests a part of the history of a turn that the owner has reported.
+type HistoryArgs struct {
+	Account string
+	Turn    string
+	// From is the offset of the part in the history, and Limit its maximum length, in bytes.
+	From, Limit int
+	WaitMS      int64
+}
+
+// HistoryReply is the response to HistoryArgs. Without Found the owner has the history no more.
+type HistoryReply struct {
+	Found bool
+	Chain []byte
+}
+
 // ReleaseArgs requests that the owner identified by Writer stop granting preallocated
 // tokens for a program.
 type ReleaseArgs struct {
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -44,6 +44,8 @@
 	appendTime storelog.MovingAverage
 	// terminated records when other owners were first found to have terminated.
 	terminated terminatedOwners
+	limits     Limits
+	contents   *contentCache
 	// loadSlots holds one token for each load in progress.
 	loadSlots chan struct{}
 }
@@ -51,34 +53,42 @@
 // NewOwner returns the owner that runs on host self. Each topic has partsPerTopic
 // partitions.
 func NewOwner(self peers.Host, log storelog.Log, remote Peers, partsPerTopic int, events *event.Logger) *Owner {
-	o := &Owner{log: log, peers: remote, events: events, loadSlots: make(chan struct{}, maxLoads)}
+	limits := DefaultLimits()
+	o := &Owner{log: log, peers: remote, events: events, loadSlots: make(chan struct{}, maxLoads),
+		limits: limits, contents: newContentCache(limits.ContentBytes)}
 	writer := WriterOf(self)
 	for id := range o.partitions {
-		o.partitions[id] = newPartition(id, partsPerTopic, writer)
+		o.partitions[id] = newPartition(id, partsPerTopic, writer, o.contents)
 	}
 	return o
 }
 
+// SetLimits replaces the default limits. It must be called before the owner is used.
+func (o *Owner) SetLimits(l Limits) {
+	o.limits = l
+	o.contents.limit = l.ContentBytes
+}
+
 // Begin decides whether a turn may begin, and reserves its tokens.
 func (o *Owner) Begin(ctx context.Context, args BeginArgs) BeginReply {
 	p := o.partitions[PartitionOf(args.Account, args.Program)]
 	if !o.ensureLoaded(ctx, p) {
 		return BeginReply{Outcome: Unavailable}
 	}
-	reply, c := o.decide(p, args)
+	reply, history, c := o.decide(p, args)
 	if reply.Outcome == UnknownParent || (reply.Outcome == Exhausted && !p.verifiedWithin(exhaustedAge)) {
 		// Another owner may have written since the last read.
 		if o.sync(ctx, p) != nil {
 			return BeginReply{Outcome: Unavailable}
 		}
-		reply, c = o.decide(p, args)
+		reply, history, c = o.decide(p, args)
 	}
 	if reply.Outcome == Exhausted && o.release(ctx, p, args) {
-		reply, c = o.decide(p, args)
+		reply, history, c = o.decide(p, args)
 	}
 	for waited := time.Duration(0); reply.Outcome == Exhausted && waited < settlementWait && p.awaitsSettlement(args); waited += settlementPoll {
 		time.Sleep(settlementPoll)
-		reply, c = o.decide(p, args)
+		reply, history, c = o.decide(p, args)
 	}
 	if p.shouldRelease(args) {
 		go func() {
@@ -87,20 +97,45 @@
 			o.release(ctx, p, args)
 		}()
 	}
-	if c == nil {
+	if c != nil {
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+			return BeginReply{Outcome: Unavailable, Uncertain: !p.withdraw(c)}
+		}
+		if outcome := p.outcomeOf(c); outcome != Granted {
+			return BeginReply{Outcome: outcome}
+		}
+	}
+	if reply.Outcome != Granted || len(history) == 0 {
 		return reply
 	}
-	select {
-	case <-c.done:
-	case <-ctx.Done():
-		return BeginReply{Outcome: Unavailable, Uncertain: !p.withdraw(c)}
+	chain, err := o.history(ctx, p, history, 0, args.MaxChain)
+	if err != nil {
+		o.historyFailed(p, args.Parent, err)
+		return BeginReply{Outcome: Unavailable, Uncertain: true}
 	}
+	reply.Chain = chain
+	return reply
+}
+
+// historyFailed logs that the history of a turn could not be read.
+func (o *Owner) historyFailed(p *partition, turn string, err error) {
+	o.events.Log(event.HistoryUnavailable, event.Fields{"partition": p.id, "turn": turn, "error": err.Error()})
+}
+
+// outcomeOf returns the outcome of a completed reservation.
+func (p *partition) outcomeOf(c *change) Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.withdrawn {
-		return BeginReply{Outcome: Exhausted}
+	switch {
+	case c.withdrawn:
+		return Exhausted
+	case c.rejected:
+		return Unavailable
+	default:
+		return Granted
 	}
-	return reply
 }
 
 // awaitsSettlement reports whether the turn would fit in the budget if the open turns of the
@@ -142,28 +177,32 @@
 	return true
 }
 
-// decide reserves the tokens of a turn if they fit in its budget. The returned change is
-// nil if the reservation needs no record or is denied.
-func (o *Owner) decide(p *partition, args BeginArgs) (BeginReply, *change) {
+// decide reserves the tokens of a turn if they fit in its budget, and returns the history that
+// the turn continues. The returned change is nil if the reservation needs no record or is denied.
+func (o *Owner) decide(p *partition, args BeginArgs) (BeginReply, path, *change) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.loaded {
-		return BeginReply{Outcome: Unavailable}, nil
+		return BeginReply{Outcome: Unavailable}, nil, nil
 	}
 	reply := BeginReply{Outcome: Granted}
+	var history path
 	if args.Parent != "" {
 		parent := p.turns[args.Parent]
 		if parent == nil || !p.canContinueLocked(parent) {
-			return BeginReply{Outcome: UnknownParent}, nil
+			return BeginReply{Outcome: UnknownParent}, nil, nil
 		}
 		if parent.Account != args.Account {
-			return BeginReply{Outcome: ForeignParent}, nil
+			return BeginReply{Outcome: ForeignParent}, nil, nil
 		}
-		chain, complete := p.chainLocked(parent)
-		if !complete {
-			return BeginReply{Outcome: UnknownParent}, nil
+		var complete bool
+		if history, complete = p.pathLocked(parent); !complete {
+			return BeginReply{Outcome: UnknownParent}, nil, nil
 		}
-		reply.Chain, reply.Replica = chain, parent.Replica
+		if history.size() > maxHistory {
+			return BeginReply{Outcome: HistoryTooLong}, nil, nil
+		}
+		reply.ChainBytes, reply.Replica = history.size(), parent.Replica
 		if parent.Program != args.Program {
 			reply.Detached = true
 			args.Parent = ""
@@ -171,7 +210,7 @@
 	}
 	t := Turn{
 		ID: args.Turn, Parent: args.Parent, Account: args.Account, Program: args.Program,
-		State: Open, Tokens: args.MaxTokens,
+		State: Open, Tokens: args.MaxTokens, offset: -1,
 		Expiry: time.Now().UnixMilli() + args.RetentionMS,
 	}
 	g := p.programLocked(&t)
@@ -184,46 +223,64 @@
 		used -= old.Tokens
 	}
 	if args.Budget > 0 && used+args.MaxTokens > args.Budget {
-		return BeginReply{Outcome: Exhausted}, nil
+		return BeginReply{Outcome: Exhausted}, nil, nil
 	}
 	if g.grantPreallocated(args.Turn, args.MaxTokens) {
 		g.expiry = max(g.expiry, t.Expiry)
-		return reply, nil
+		return reply, history, nil
 	}
 	// If no write is in progress, this change is written in spite of earlier failures, since
 	// its append detects that the store has recovered.
 	if p.writing && p.failingForLocked(appendFailureLimit) {
-		return BeginReply{Outcome: Unavailable}, nil
+		return BeginReply{Outcome: Unavailable}, nil, nil
 	}
 	c := &change{budget: args.Budget, done: make(chan struct{}), turn: t}
 	o.enqueueLocked(p, c)
-	return reply, c
+	return reply, history, c
 }
 
-// End settles a turn. It reports whether the turn is stored: any number of hosts may be
-// lost at once, so a turn that is held only in the memory of hosts does not count as stored.
-func (o *Owner) End(ctx context.Context, t Turn) bool {
+// End settles a turn. Any number of hosts may be lost at once, so a turn that is held only in the
+// memory of hosts does not count as stored.
+func (o *Owner) End(ctx context.Context, t Turn) EndReply {
 	p := o.partitions[PartitionOf(t.Account, t.Program)]
 	if !o.ensureLoaded(ctx, p) {
-		return false
+		return EndReply{}
 	}
-	p.mu.Lock()
-	if !p.loaded {
-		p.mu.Unlock()
-		return false
-	}
-	c := p.pendingLocked(t.ID, t.State)
+	c, reply := o.settle(p, t)
 	if c == nil {
-		c = &change{turn: t, done: make(chan struct{})}
-		o.enqueueLocked(p, c)
+		return reply
 	}
-	p.mu.Unlock()
 	select {
 	case <-c.done:
-		return true
 	case <-ctx.Done():
-		return false
+		return EndReply{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return EndReply{Kept: !c.rejected, Rejected: c.rejected}
+}
+
+// settle queues the settlement of a turn, in pieces if it is too long for one record. It returns
+// the change that is stored last, or the reply if there is nothing to store.
+func (o *Owner) settle(p *partition, t Turn) (*change, EndReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.loaded {
+		return nil, EndReply{}
+	}
+	if c := p.pendingLocked(t.ID, t.State); c != nil {
+		return c, EndReply{}
+	}
+	if known := p.turns[t.ID]; known != nil && known.State >= t.State {
+		return nil, EndReply{Kept: true}
 	}
+	var last *change
+	for piece := range Pieces(t, nil, o.limits.pieceBytes()) {
+		piece.offset = -1
+		last = &change{turn: piece, done: make(chan struct{})}
+		o.enqueueLocked(p, last)
+	}
+	return last, EndReply{}
 }
 
 // enqueueLocked applies a change and queues it for the store.
@@ -242,8 +299,8 @@
 // them, and marks them as certain.
 func (o *Owner) Locate(ctx context.Context, args LocateArgs, owns func(partition int) bool) LocateReply {
 	for _, p := range o.partitions {
-		if reply, _ := p.locate(args); reply.Outcome != UnknownParent {
-			return reply
+		if found, _ := o.locate(ctx, p, args); found.Outcome != UnknownParent {
+			return found
 		}
 	}
 	reply := LocateReply{Outcome: UnknownParent}
@@ -257,7 +314,7 @@
 		if !synced {
 			continue
 		}
-		found, loaded := owned[n].locate(args)
+		found, loaded := o.locate(ctx, owned[n], args)
 		if found.Outcome != UnknownParent {
 			return found
 		}
@@ -268,6 +325,38 @@
 	return reply
 }
 
+// locate looks for a turn in one partition. Loaded reports whether the partition has its turns in
+// memory.
+func (o *Owner) locate(ctx context.Context, p *partition, args LocateArgs) (found LocateReply, loaded bool) {
+	found, history, loaded := p.locate(args.Account, args.Turn)
+	if found.Outcome != Located {
+		return found, loaded
+	}
+	var err error
+	if found.Chain, err = o.history(ctx, p, history, 0, args.MaxChain); err != nil {
+		o.historyFailed(p, args.Turn, err)
+		return LocateReply{Outcome: Unavailable}, loaded
+	}
+	return found, loaded
+}
+
+// History returns a part of the history of a turn that Begin or Locate has reported.
+func (o *Owner) History(ctx context.Context, args HistoryArgs) HistoryReply {
+	for _, p := range o.partitions {
+		found, history, _ := p.locate(args.Account, args.Turn)
+		if found.Outcome != Located {
+			continue
+		}
+		chain, err := o.history(ctx, p, history, args.From, args.Limit)
+		if err != nil {
+			o.historyFailed(p, args.Turn, err)
+			return HistoryReply{}
+		}
+		return HistoryReply{Found: true, Chain: chain}
+	}
+	return HistoryReply{}
+}
+
 // syncAll reads the newest records of partitions concurrently, since a slow store answers each
 // read late, and reports for which of them it has.
 func (o *Owner) syncAll(ctx context.Context, partitions []*partition) []bool {
--- a/internal/turns/owner_test.go
+++ b/internal/turns/owner_test.go
@@ -16,9 +16,9 @@
 	is := is.New(t)
 	o := newOwner(storelog.NewMemory(), nil)
 	is.Equal(begin(t, o, "t1", "", 0).Outcome, turns.Granted)
-	is.True(o.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(o.End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	is.Equal(begin(t, o, "t2", "t1", 0).Outcome, turns.Granted)
-	is.True(o.End(deadline(t, time.Second), ended("t2", "t1", 10)))
+	is.True(o.End(deadline(t, time.Second), ended("t2", "t1", 10)).Kept)
 	reply := begin(t, o, "t3", "t2", 0)
 	is.Equal(reply.Outcome, turns.Granted)
 	is.Equal(string(reply.Chain), "in-t1;out-t1\nin-t2;out-t2\n")
@@ -32,7 +32,7 @@
 	first, second := newOwner(log, nil), newOwner(log, nil)
 	// This loads the partition at second. The next write of first makes that state stale.
 	is.Equal(begin(t, second, "t0", "", 0).Outcome, turns.Granted)
-	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	is.Equal(string(begin(t, second, "t2", "t1", 0).Chain), "in-t1;out-t1\n")
 }
 
@@ -43,7 +43,7 @@
 	log := storelog.NewMemory()
 	first, second := newOwner(log, nil), newOwner(log, nil)
 	is.Equal(begin(t, second, "t0", "", 0).Outcome, turns.Granted)
-	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	log.SetFault(down)
 	is.Equal(begin(t, second, "t2", "t1", 0).Outcome, turns.Unavailable)
 	located := second.Locate(deadline(t, time.Second), turns.LocateArgs{Account: "a", Turn: "t1"}, func(int) bool { return true })
@@ -59,9 +59,9 @@
 	first := newOwner(log, backup)
 	is.Equal(begin(t, first, "t0", "", 0).Outcome, turns.Granted)
 	log.SetFault(down)
-	is.True(!first.End(deadline(t, 300*time.Millisecond), ended("t1", "", 10)))
+	is.True(!first.End(deadline(t, 300*time.Millisecond), ended("t1", "", 10)).Kept)
 	log.SetFault(nil)
-	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(first.End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	is.Equal(begin(t, backup, "t2", "t1", 0).Outcome, turns.Granted)
 }
 
@@ -70,7 +70,7 @@
 func TestLoadOutlivesItsCallers(t *testing.T) {
 	is := is.New(t)
 	log := storelog.NewMemory()
-	is.True(newOwner(log, nil).End(deadline(t, time.Second), ended("t1", "", 10)))
+	is.True(newOwner(log, nil).End(deadline(t, time.Second), ended("t1", "", 10)).Kept)
 	loads := make(chan struct{}, 100)
 	log.SetFault(func(call string, _ storelog.Partition) (error, bool) {
 		if call == "newest" {
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -50,10 +50,15 @@
 	writing bool
 	// failingSince is when appends started to fail; zero while they succeed.
 	failingSince time.Time
+	// singles is the number of following appends that contain only one change, because the
+	// store rejected one of several.
+	singles int
+	// contents holds the contents of the turns of all partitions.
+	contents *contentCache
 }
 
-func newPartition(id, partsPerTopic int, writer int64) *partition {
-	return &partition{id: id, writer: writer, logPartition: partitionName(id, partsPerTopic),
+func newPartition(id, partsPerTopic int, writer int64, contents *contentCache) *partition {
+	return &partition{id: id, writer: writer, logPartition: partitionName(id, partsPerTopic), contents: contents,
 		turns: make(map[string]*Turn), programs: make(map[programKey]*program)}
 }
 
@@ -70,6 +75,7 @@
 	if err := cbor.Unmarshal(r.Value, &t); err != nil || t.ID != r.Key {
 		return false
 	}
+	t.offset = r.Offset
 	p.mergeLocked(&t)
 	g := p.programLocked(&t)
 	delete(g.unrecorded, t.ID)
@@ -102,12 +108,19 @@
 	return g
 }
 
-// mergeLocked adds or updates a turn unless a later state of it is present.
+// mergeLocked adds or updates a turn unless a later state of it is present. Its contents move
+// to the cache.
 func (p *partition) mergeLocked(t *Turn) {
 	old := p.turns[t.ID]
 	if old != nil && (old.State > t.State || (old.State == Ended && t.State == Ended)) {
+		if old.State == t.State && old.offset < 0 {
+			old.offset = t.offset
+		}
 		return
 	}
+	contents := content{t.Input, t.Output}
+	t.size, t.Input, t.Output = contents.size(), nil, nil
+	p.contents.put(contentKey{p.id, t.ID}, contents)
 	g := p.programLocked(t)
 	g.recordReplica(t)
 	if _, unrecorded := g.unrecorded[t.ID]; unrecorded {
@@ -130,6 +143,7 @@
 		return
 	}
 	delete(p.turns, id)
+	p.contents.remove(contentKey{p.id, id})
 	key := programKey{t.Account, t.Program}
 	g := p.programs[key]
 	delete(g.turns, id)
@@ -139,30 +153,6 @@
 	}
 }
 
-// chainLocked returns the history that an engine reads of a turn and all its ancestors, or
-// false if a turn of the chain is missing.
-func (p *partition) chainLocked(t *Turn) ([]byte, bool) {
-	var path []*Turn
-	size := 0
-	for {
-		path = append(path, t)
-		size += len(t.Input) + len(t.Output)
-		if t.Parent == "" {
-			break
-		}
-		parent := p.turns[t.Parent]
-		if parent == nil || parent.State != Ended || len(path) > len(p.turns) {
-			return nil, false
-		}
-		t = parent
-	}
-	chain := make([]byte, 0, size)
-	for i := len(path) - 1; i >= 0; i-- {
-		chain = append(append(chain, path[i].Input...), path[i].Output...)
-	}
-	return chain, true
-}
-
 // failingForLocked reports whether appends have failed for at least d.
 func (p *partition) failingForLocked(d time.Duration) bool {
 	return !p.failingSince.IsZero() && time.Since(p.failingSince) >= d
@@ -170,21 +160,24 @@
 
 // locate looks up a turn of an account that can be continued, and its history. Loaded reports
 // whether the partition has its turns in memory.
-func (p *partition) locate(args LocateArgs) (reply LocateReply, loaded bool) {
+func (p *partition) locate(account, turn string) (found LocateReply, history path, loaded bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	t := p.turns[args.Turn]
-	if t == nil || !p.canContinueLocked(t) {
-		return LocateReply{Outcome: UnknownParent}, p.loaded
+	t := p.turns[turn]
+	switch {
+	case t == nil || !p.canContinueLocked(t):
+		return LocateReply{Outcome: UnknownParent}, nil, p.loaded
+	case t.Account != account:
+		return LocateReply{Outcome: ForeignParent}, nil, p.loaded
 	}
-	if t.Account != args.Account {
-		return LocateReply{Outcome: ForeignParent}, p.loaded
+	history, complete := p.pathLocked(t)
+	switch {
+	case !complete:
+		return LocateReply{Outcome: Unavailable}, nil, p.loaded
+	case history.size() > maxHistory:
+		return LocateReply{Outcome: HistoryTooLong}, nil, p.loaded
 	}
-	chain, complete := p.chainLocked(t)
-	if !complete {
-		return LocateReply{Outcome: Unavailable}, p.loaded
-	}
-	return LocateReply{Outcome: Located, Chain: chain, Replica: t.Replica}, p.loaded
+	return LocateReply{Outcome: Located, Replica: t.Replica, ChainBytes: history.size()}, history, p.loaded
 }
 
 // canContinueLocked reports whether a turn was answered completely and is retained long enough
@@ -251,6 +244,9 @@
 // the store does not have it.
 func (p *partition) unloadLocked() {
 	p.loaded = false
+	for id := range p.turns {
+		p.contents.remove(contentKey{p.id, id})
+	}
 	clear(p.turns)
 	for key, g := range p.programs {
 		if len(g.unrecorded) == 0 {
--- a/internal/turns/replica_test.go
+++ b/internal/turns/replica_test.go
@@ -16,7 +16,7 @@
 	turn := ended(id, "", 10)
 	turn.State, turn.Input, turn.Output = turns.Closed, nil, nil
 	turn.Session, turn.Replica = session, replica
-	if !o.End(deadline(t, time.Second), turn) {
+	if !o.End(deadline(t, time.Second), turn).Kept {
 		t.Fatalf("turn %s was not stored", id)
 	}
 }
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -54,7 +54,7 @@
 // End calls Owner.End.
 func (s *Service) End(args EndArgs, reply *EndReply) error {
 	return s.call("End", serveTimeout(args.WaitMS), func(ctx context.Context) error {
-		reply.Kept = s.owner.End(ctx, args.Turn)
+		*reply = s.owner.End(ctx, args.Turn)
 		return nil
 	})
 }
@@ -67,6 +67,14 @@
 	})
 }
 
+// History calls Owner.History.
+func (s *Service) History(args HistoryArgs, reply *HistoryReply) error {
+	return s.call("History", serveTimeout(args.WaitMS), func(ctx context.Context) error {
+		*reply = s.owner.History(ctx, args)
+		return nil
+	})
+}
+
 // errNotWriter is returned if a Release call names the writer ID of another owner.
 var errNotWriter = errors.New("not the writer that is asked to release")
 
--- a/internal/turns/settlement_test.go
+++ b/internal/turns/settlement_test.go
@@ -37,7 +37,7 @@
 		is.Equal(begin(t, o, "t1", "", 150).Outcome, turns.Granted)
 		turn := ended("t1", "", 80)
 		turn.State = turns.Closed
-		is.True(o.End(deadline(t, time.Second), turn))
+		is.True(o.End(deadline(t, time.Second), turn).Kept)
 		start := time.Now()
 		is.Equal(begin(t, o, "t2", "", 150).Outcome, turns.Exhausted)
 		is.True(time.Since(start) < 10*time.Millisecond)
--- a/internal/turns/slow_test.go
+++ b/internal/turns/slow_test.go
@@ -68,7 +68,7 @@
 						MaxTokens: 100, RetentionMS: 60_000})
 					is.Equal(reply.Outcome, turns.Granted)
 					is.True(client.End(context.Background(), turns.Turn{ID: id, Account: "a", Program: program, State: turns.Ended, Tokens: 10,
-						Expiry: time.Now().Add(time.Minute).UnixMilli()}))
+						Expiry: time.Now().Add(time.Minute).UnixMilli()}).Kept)
 				}
 			})
 		}
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -43,4 +43,9 @@
 	// Forgiven is the number of preallocated tokens that are no longer counted, although
 	// turns that used them may have been lost with their hosts.
 	Forgiven int `cbor:"14,keyasint,omitempty"`
+
+	// offset is that of the record in the store, or -1 if it is not known, and size the length
+	// of the input and the output. Owners keep both in memory, and the contents apart.
+	offset int64
+	size   int
 }
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -21,8 +21,6 @@
 	// maxAppendBackoff limits the delay, which also delays answers after the store has
 	// recovered.
 	maxAppendBackoff = 250 * time.Millisecond
-	// maxBatchBytes limits the total size of the records of one append, in bytes.
-	maxBatchBytes = 1 << 20
 )
 
 // write appends the pending changes of a partition until none are left. At most one write
@@ -31,7 +29,7 @@
 	ctx := context.Background()
 	backoff := minAppendBackoff
 	for {
-		batch, records, expected := p.takeBatch()
+		batch, records, expected := p.takeBatch(o.limits.batchBytes())
 		if len(batch) == 0 {
 			return
 		}
@@ -48,6 +46,9 @@
 				continue
 			}
 			p.revalidate(batch)
+		case errors.Is(err, storelog.ErrRejected):
+			p.recordFailure(batch, true)
+			o.reject(p, batch, err)
 		default:
 			p.recordFailure(batch, errors.Is(err, storelog.ErrUnavailable))
 			o.appendFailed(p, err, &backoff)
@@ -78,9 +79,9 @@
 	*backoff = min(2**backoff, maxAppendBackoff)
 }
 
-// takeBatch returns the changes for the next append and the expected end offset. If there
-// are none, it marks the write as ended.
-func (p *partition) takeBatch() ([]*change, []storelog.Record, int64) {
+// takeBatch returns the changes for the next append, whose records have up to maxBytes in total,
+// and the expected end offset. If there are none, it marks the write as ended.
+func (p *partition) takeBatch(maxBytes int) ([]*change, []storelog.Record, int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropSupersededLocked()
@@ -96,7 +97,7 @@
 		if err != nil {
 			panic("turn cannot be encoded: " + err.Error())
 		}
-		if size += len(value); size > maxBatchBytes && len(records) > 0 {
+		if size += len(value) + len(c.turn.ID); len(records) > 0 && (size > maxBytes || p.singles > 0) {
 			break
 		}
 		records = append(records, storelog.Record{Key: c.turn.ID, Value: value})
@@ -141,7 +142,12 @@
 	defer p.mu.Unlock()
 	p.end, p.verifiedAt = max(p.end, end), time.Now()
 	p.failingSince = time.Time{}
-	for _, c := range batch {
+	p.singles = max(p.singles-1, 0)
+	first := end - int64(len(batch))
+	for n, c := range batch {
+		if t := p.turns[c.turn.ID]; t != nil && t.State == c.turn.State {
+			t.offset = first + int64(n)
+		}
 		c.markSavedLocked(p)
 	}
 	p.dropCompletedLocked()
@@ -220,3 +226,39 @@
 		}
 	}
 }
+
+// reject handles a batch that the store accepts at no time. If it contains several changes, they
+// are written one by one, since the others must not wait behind the rejected one.
+func (o *Owner) reject(p *partition, batch []*change, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(batch) > 1 {
+		p.singles = len(batch)
+		return
+	}
+	c := batch[0]
+	p.singles = max(p.singles-1, 0)
+	o.events.Log(event.TurnRejected, event.Fields{"partition": p.id, "turn": c.turn.ID, "state": c.turn.State, "error": err.Error()})
+	rejected := turnOf(c.turn.ID)
+	for _, other := range slices.Clone(p.pending) {
+		if turnOf(other.turn.ID) == rejected && other.turn.State == c.turn.State {
+			o.rejectLocked(p, other)
+		}
+	}
+	p.dropCompletedLocked()
+}
+
+// rejectLocked gives a change up. The tokens of an ended turn still count, but it cannot be
+// continued. If the store rejects that as well, they count at this owner.
+func (o *Owner) rejectLocked(p *partition, c *change) {
+	t := c.turn
+	c.rejected = true
+	c.completeLocked()
+	if known := p.turns[t.ID]; known != nil && known.State == t.State && t.State != Closed {
+		p.removeLocked(t.ID)
+	}
+	if t.State == Ended && t.ID == turnOf(t.ID) {
+		t.State, t.Parent, t.Input, t.Output = Closed, "", nil, nil
+		o.enqueueLocked(p, &change{turn: t, done: make(chan struct{})})
+	}
+}
