gateway, forward: repeated refusals and answers cut before their body

Shown by tests that failed before: - TestRepeatedRefusal: a refusal without a request ID that a replica wrote once more on a kept connection was taken for the answer to the next request, which ran (503 for a request that runs).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -25,6 +25,9 @@
 	written <-chan error
 	// stopWatch stops the watch that closes conn when the request's context is done.
 	stopWatch func() bool
+	// needsBody is set until a byte of the body arrives if only the end of the connection ends the
+	// answer and the status is a success.
+	needsBody bool
 	// complete is set once the body was read to the end, broken after a read error.
 	complete bool
 	broken   bool
@@ -33,9 +36,14 @@
 	close    sync.Once
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete.
+// Read reads the body. It returns io.EOF only if the body is complete. A success whose body ends
+// with the connection before its first byte is not: the replica may have ended after the head.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	a.needsBody = a.needsBody && n == 0
+	if err == io.EOF && a.needsBody {
+		err = io.ErrUnexpectedEOF
+	}
 	switch {
 	case err == io.EOF:
 		a.complete = true
@@ -45,6 +53,9 @@
 	return n, err
 }
 
+// DoNotReuse makes Close close the connection.
+func (a *Answer) DoNotReuse() { a.reusable = false }
+
 // Close returns the connection to the pool if the request was sent and the answer was
 // read to the end. Otherwise it closes the connection, which cancels the request.
 func (a *Answer) Close() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,7 +148,8 @@
 	}
 	x.g.learnLeaving(record, info, answer.Status)
 	a := &attempt{lease: lease, answer: answer, info: info, cancel: func() { cancel(nil) }}
-	if info.NotExecuted || answer.Status == http.StatusMisdirectedRequest {
+	if info.isRefusal(answer.Status) {
+		info.limitReuse(answer)
 		drain(answer)
 		a.end(replica.Refused, 1)
 		return nil, errRefused
@@ -156,6 +157,19 @@
 	return a, nil
 }
 
+// isRefusal reports whether an answer says that the replica did not execute the request.
+func (i AnswerInfo) isRefusal(status int) bool {
+	return i.NotExecuted || status == http.StatusMisdirectedRequest
+}
+
+// limitReuse keeps a refusal that bears no request ID the last answer on its connection: a copy of
+// it would be taken for the answer to a later request.
+func (i AnswerInfo) limitReuse(answer *forward.Answer) {
+	if i.isRefusal(answer.Status) && i.RequestID == "" {
+		answer.DoNotReuse()
+	}
+}
+
 // learnLeaving records what an answer says of the end of the replica. An answer that the request
 // was misdirected comes from another replica.
 func (g *Gateway) learnLeaving(r replica.Record, info AnswerInfo, status int) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -91,7 +91,9 @@
 		return
 	}
 	defer answer.Close()
-	g.learnLeaving(record, g.codec.Answer(answer.Header), answer.Status)
+	info := g.codec.Answer(answer.Header)
+	info.limitReuse(answer)
+	g.learnLeaving(record, info, answer.Status)
 	copyAnswer(w, answer)
 }
 
