--- a/cmd/cowslipgw/soak.go
+++ b/cmd/cowslipgw/soak.go
@@ -27,12 +27,17 @@
 	runs := flags.Int("runs", 1, "`number` of runs, with consecutive seeds")
 	hosts := flags.Int("nodes", soakHosts, "`number` of host processes")
 	format := flags.String("format", "table", "report `format`: table or json")
+	earlier := flags.String("earlier", "", "`program` of an earlier build, which is replaced host by host during the run")
 	logDir := flags.String("logs", "", "`directory` for settings and logs; if empty, a temporary one that is removed afterwards")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
 	}
+	var earlierCommand []string
+	if *earlier != "" {
+		earlierCommand = []string{*earlier, "gateway"}
+	}
 	if flags.NArg() > 0 || *runs < 1 || *hosts < 1 || (*format != "table" && *format != "json") {
-		fmt.Fprintln(stderr, "usage: cowslipgw soak [-seed N] [-runs N] [-nodes N] [-format table|json] [-logs DIR]")
+		fmt.Fprintln(stderr, "usage: cowslipgw soak [-seed N] [-runs N] [-nodes N] [-earlier PROGRAM] [-format table|json] [-logs DIR]")
 		return exitUsage
 	}
 	program, err := os.Executable()
@@ -42,7 +47,7 @@
 	}
 	status := exitOK
 	for n := range *runs {
-		report, err := runSoakSeed(ctx, soak.Options{Seed: *seed + uint64(n), Hosts: *hosts, Command: []string{program, "gateway"}}, *logDir)
+		report, err := runSoakSeed(ctx, soak.Options{Seed: *seed + uint64(n), Hosts: *hosts, Command: []string{program, "gateway"}, Earlier: earlierCommand}, *logDir)
 		if err != nil {
 			fmt.Fprintf(stderr, "cowslipgw soak: %v\n", err)
 			return exitFailure
