gateway: a refusal of a long body reaches callers that still send it

The 503 for lack of memory closed the connection; callers that read only after they have sent all got a reset, which promises nothing. The refusal is sent at once and the rest of the body discarded, up to the request's deadline.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -37,13 +38,9 @@
 	if f := x.authorize(r.Context(), table); f != nil {
 		return f
 	}
-	limit := x.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
 	x.deadline = x.start.Add(x.timeout())
 	x.limitConnection(x.deadline)
-	if f := x.readBody(r, limit); f != nil {
+	if f := x.readBody(r); f != nil {
 		return f
 	}
 	// The server keeps reading to notice that the caller disconnects.
@@ -58,8 +55,17 @@
 	return x.admitRate(r.Context())
 }
 
-// readBody reads the body of the request, of at most limit bytes.
-func (x *exchange) readBody(r *http.Request, limit int64) *refusal {
+// bodyLimit returns the size of the longest body that is accepted, in bytes.
+func (x *exchange) bodyLimit() int64 {
+	if x.table.Limits.BodyBytes > 0 {
+		return x.table.Limits.BodyBytes
+	}
+	return defaultBodyLimit
+}
+
+// readBody reads the body of the request.
+func (x *exchange) readBody(r *http.Request) *refusal {
+	limit := x.bodyLimit()
 	tooLong := &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
 	if r.ContentLength > limit {
 		return tooLong
@@ -76,11 +82,26 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
 	case errors.Is(err, errNoMemory):
-		return refuseNoMemory()
+		f := refuseNoMemory()
+		f.bodyUnread = true
+		return f
 	}
 	return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
 }
 
+// refuseEarly sends a refusal at once and discards the rest of the body: many callers read the
+// answer only after they have sent all of it, and would find the connection reset.
+func (x *exchange) refuseEarly(r *http.Request, f refusal) {
+	connection := http.NewResponseController(x.w)
+	// Without it, the server would close the connection instead. Errors of both mean that the
+	// connection does not support it, or that the caller has disconnected.
+	_ = connection.EnableFullDuplex()
+	x.refuse(f)
+	_ = connection.Flush()
+	// The deadline of the request and its maximum size end this.
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, x.bodyLimit()))
+}
+
 // refuseNoMemory refuses a request that would exceed the memory for long requests.
 func refuseNoMemory() *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: "too many long requests in progress", retryAfter: retryMemory}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	if f := x.admit(r); f != nil {
+		if f.bodyUnread {
+			x.refuseEarly(r, *f)
+			return
+		}
 		x.refuse(*f)
 		return
 	}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -15,6 +15,8 @@
 	detail string
 	// retryAfter, if set, is sent as the Retry-After header.
 	retryAfter time.Duration
+	// bodyUnread is set if the caller may still be sending the body.
+	bodyUnread bool
 }
 
 // Values of the Retry-After header.
