turns, gateway: long turns that wait for the store are bounded

While the store is down, hosts kept the contents of turns whose answers had already been cut, for up to 60 s, and owners queued them without limit: at 13 turns of 4 MB a second a host is out of memory in 3 s. A turn that is not stored by its deadline is settled with its tokens only, and owners queue long contents up to the limit for contents in memory (short ones always). TestPendingContentsAreBounded.

--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -176,13 +176,13 @@
 	t.record.Tokens = s.events * t.tokensPerEvent
 	ended := time.Now()
 	defer func() { t.x.storeTime = time.Since(ended) }()
-	select {
-	case stored := <-t.settle():
-		return stored
-	case <-ctx.Done():
-		t.x.g.events.Log(event.TurnStoreTimeout, event.Fields{"request": t.record.ID})
-		return false
+	if <-t.settle(ctx) {
+		return true
 	}
+	t.x.g.events.Log(event.TurnStoreTimeout, event.Fields{"request": t.record.ID})
+	// The turn cannot be continued, and only its tokens must be stored.
+	t.close(s)
+	return false
 }
 
 // close settles a turn that cannot be continued: its answer is incomplete, or its route
@@ -192,24 +192,25 @@
 		return
 	}
 	t.record.State = turns.Closed
-	t.record.Input, t.history = nil, nil
+	t.record.Input, t.record.Output, t.history = nil, nil, nil
 	t.record.Tokens = s.events * t.tokensPerEvent
-	t.settle()
+	t.settle(context.Background())
 }
 
-// settle retries the settlement until the turn is stored, in pieces if it is long. The returned
-// channel receives whether that succeeded.
-func (t *turn) settle() <-chan bool {
+// settle retries the settlement until the turn is stored, in pieces if it is long, or ctx ends. The
+// returned channel receives whether the turn is stored.
+func (t *turn) settle(ctx context.Context) <-chan bool {
 	g := t.x.g
 	record := t.record
 	record.Expiry = time.Now().Add(t.x.retention()).UnixMilli()
+	history := t.history
 	stored := make(chan bool, 1)
 	g.settling.Add(1)
 	go func() {
 		defer g.settling.Add(-1)
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 		defer cancel()
-		err := g.settlePieces(ctx, record, t.history)
+		err := g.settlePieces(ctx, record, history)
 		if err != nil {
 			g.events.Log(event.TurnStoreFailed, event.Fields{"request": record.ID, "program": record.Program, "error": err.Error()})
 		}
--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -1,5 +1,7 @@
 package turns
 
+import "sync/atomic"
+
 // change is a decided change that is being written to the store.
 type change struct {
 	turn Turn
@@ -8,6 +10,9 @@
 	// preallocation is the number of tokens that this owner may grant without a further
 	// record once the change is stored.
 	preallocation int
+	// held counts the contents of all pending changes, of which this one has bytes.
+	held  *atomic.Int64
+	bytes int64
 	// done is closed when the change is stored or withdrawn.
 	done chan struct{}
 	// rejected is set if the store accepts the change at no time.
@@ -26,6 +31,9 @@
 func (c *change) completeLocked() {
 	if !c.completed {
 		c.completed = true
+		if c.held != nil {
+			c.held.Add(-c.bytes)
+		}
 		close(c.done)
 	}
 }
--- a/internal/turns/export_test.go
+++ b/internal/turns/export_test.go
@@ -10,3 +10,6 @@
 	}
 	return total
 }
+
+// PendingContent returns the total size of the contents that wait for the store, in bytes.
+func (o *Owner) PendingContent() int { return int(o.held.Load()) }
--- a/internal/turns/limits.go
+++ b/internal/turns/limits.go
@@ -23,6 +23,9 @@
 	// recordOverhead is the part of a record that is reserved for all but the contents of the
 	// turn: IDs, names and preallocations, in bytes.
 	recordOverhead = 8 << 10
+	// shortContents is the size up to which the contents of a turn are queued for the store without
+	// a limit on all of them, in bytes.
+	shortContents = 32 << 10
 	// maxHistory is the length of the longest history that a turn may continue, in bytes. Hosts
 	// pass a history on in one request of 16 MiB at most, with the new input.
 	maxHistory = 11 << 20
--- a/internal/turns/long_test.go
+++ b/internal/turns/long_test.go
@@ -202,3 +202,30 @@
 	store(t, client, turn, nil)
 	is.Equal(len(chain(t, client, "p", turns.Key(long+"y"), turns.Key(long))), 1<<20+len(turn.Output))
 }
+
+// TestPendingContentsAreBounded guards against hosts that exceed their memory because they queue long
+// turns while the store is down. Short ones are queued all the same.
+func TestPendingContentsAreBounded(t *testing.T) {
+	is := is.New(t)
+	log := storelog.NewMemory()
+	limits := turns.DefaultLimits()
+	limits.ContentBytes = 1 << 20
+	client, owner := newClient(log, limits)
+	is.Equal(len(chain(t, client, "p", "t0", "")), 0)
+	log.SetFault(down)
+	for n := range 20 {
+		long := ended("long"+strconv.Itoa(n), "", 10)
+		long.Input = text(200 << 10)
+		is.True(!owner.End(deadline(t, time.Millisecond), long).Kept)
+		is.True(!owner.End(deadline(t, time.Millisecond), ended("short"+strconv.Itoa(n), "", 10)).Kept)
+		is.True(owner.PendingContent() <= limits.ContentBytes)
+	}
+	log.SetFault(nil)
+	for n := range 20 {
+		is.True(owner.End(deadline(t, 5*time.Second), ended("short"+strconv.Itoa(n), "", 10)).Kept)
+		long := ended("long"+strconv.Itoa(n), "", 10)
+		long.Input = text(200 << 10)
+		store(t, client, long, nil)
+	}
+	is.Equal(owner.PendingContent(), 0)
+}
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cowslipgw/internal/event"
@@ -46,6 +47,8 @@
 	terminated terminatedOwners
 	limits     Limits
 	contents   *contentCache
+	// held is the total size of the contents of pending changes, in bytes.
+	held atomic.Int64
 	// loadSlots holds one token for each load in progress.
 	loadSlots chan struct{}
 }
@@ -274,6 +277,10 @@
 	if known := p.turns[t.ID]; known != nil && known.State >= t.State {
 		return nil, EndReply{Kept: true}
 	}
+	if size := int64(len(t.Input) + len(t.Output)); size > shortContents && o.held.Load()+size > int64(o.limits.ContentBytes) {
+		// The store does not keep up. The host holds the turn until there is room.
+		return nil, EndReply{}
+	}
 	var last *change
 	for piece := range Pieces(t, nil, o.limits.pieceBytes()) {
 		piece.offset = -1
@@ -286,6 +293,8 @@
 // enqueueLocked applies a change and queues it for the store.
 func (o *Owner) enqueueLocked(p *partition, c *change) {
 	t := c.turn
+	c.held, c.bytes = &o.held, int64(len(t.Input)+len(t.Output))
+	o.held.Add(c.bytes)
 	p.mergeLocked(&t)
 	p.pending = append(p.pending, c)
 	if !p.writing {
