turns, gateway: memory for a history is reserved before it is read

Turns with short inputs that name long histories were admitted before anything was known of the history; forty at once would hold 160 MB. TestHistoryWithoutRoomIsNotRead.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -98,6 +98,9 @@
 	_ = connection.EnableFullDuplex()
 	x.refuse(f)
 	_ = connection.Flush()
+	if r.Header.Get("Expect") != "" {
+		return // the caller waits with the body
+	}
 	// The deadline of the request and its maximum size end this.
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, x.bodyLimit()))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,7 @@
 
 // Turns stores the turns of programs; see turns.Client.
 type Turns interface {
-	Begin(ctx context.Context, args turns.BeginArgs) (reply turns.BeginReply, flattened bool)
+	Begin(ctx context.Context, args turns.BeginArgs, room func(bytes int) bool) (reply turns.BeginReply, flattened bool)
 	End(ctx context.Context, t turns.Turn) turns.EndReply
 	// PieceBytes is the size of the contents of a turn that End accepts.
 	PieceBytes() int
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -79,7 +79,7 @@
 		t.record.Input = x.body
 	}
 	asked := time.Now()
-	begun, flattened := x.g.turns.Begin(ctx, args)
+	begun, flattened := x.g.turns.Begin(ctx, args, func(bytes int) bool { return x.memory.grow(int64(bytes)) })
 	x.beginTime = time.Since(asked)
 	if f := x.g.refusalFor(begun.Outcome); f != nil {
 		if begun.Uncertain {
@@ -88,11 +88,6 @@
 		x.refuse(*f)
 		return
 	}
-	if !x.memory.grow(int64(len(begun.Chain))) {
-		t.close(streamResult{})
-		x.refuse(*refuseNoMemory())
-		return
-	}
 	if flattened {
 		t.record.Parent, t.history = "", begun.Chain
 	}
@@ -136,6 +131,8 @@
 	case turns.ForeignParent:
 		// The caller must not learn that the turn exists.
 		return &refusal{status: http.StatusNotFound, reason: noSuchTurn, detail: "turn belongs to another client account"}
+	case turns.NoRoom:
+		return refuseNoMemory()
 	case turns.HistoryTooLong:
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "history of the program is too long"}
 	default:
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -78,27 +78,34 @@
 // Begin asks the owners of the program's partition in order of preference. If the partition
 // does not have the parent turn, Begin looks for it at all hosts and returns its history in
 // Chain. Flattened is set if the parent is not one of the program's own turns; the caller then
-// stores the history as part of the turn's input.
-func (c *Client) Begin(ctx context.Context, args BeginArgs) (reply BeginReply, flattened bool) {
-	reply = c.begin(ctx, args)
+// stores the history as part of the turn's input. Room is asked, before a history is read,
+// whether there is memory for its length in bytes; nil means that there always is.
+func (c *Client) Begin(ctx context.Context, args BeginArgs, room func(bytes int) bool) (reply BeginReply, flattened bool) {
+	if room == nil {
+		room = func(int) bool { return true }
+	}
+	reply = c.begin(ctx, args, room)
 	if reply.Outcome != UnknownParent {
 		return reply, reply.Detached
 	}
-	found := c.locate(ctx, LocateArgs{Account: args.Account, Turn: args.Parent, MaxChain: maxChain})
+	found := c.locate(ctx, LocateArgs{Account: args.Account, Turn: args.Parent, MaxChain: maxChain}, room)
 	if found.Outcome != Located {
 		return BeginReply{Outcome: found.Outcome}, false
 	}
 	args.Parent = ""
-	reply = c.begin(ctx, args)
+	reply = c.begin(ctx, args, room)
 	reply.Chain, reply.ChainBytes, reply.Replica = found.Chain, found.ChainBytes, found.Replica
 	return reply, true
 }
 
-// completeChain returns the whole history of a turn, of which h has replied with the beginning. It
-// returns false if the rest is not available.
-func (c *Client) completeChain(ctx context.Context, h peers.Host, account, turn string, chain []byte, size int) ([]byte, bool) {
+// completeChain returns the whole history of a turn, of which h has replied with the beginning. The
+// outcome is Located, NoRoom, or Unavailable if the rest is not available.
+func (c *Client) completeChain(ctx context.Context, h peers.Host, account, turn string, chain []byte, size int, room func(bytes int) bool) ([]byte, Outcome) {
+	if !room(max(size, len(chain))) {
+		return nil, NoRoom
+	}
 	if size <= len(chain) {
-		return chain, true // hosts of earlier builds reply with all of it
+		return chain, Located // hosts of earlier builds reply with all of it
 	}
 	all := append(make([]byte, 0, size), chain...)
 	for len(all) < size {
@@ -109,14 +116,14 @@
 		err := c.callHost(attempt, h, "History", args, &got, func() { got = c.owner.History(attempt, args) })
 		cancel()
 		if err != nil || !got.Found || len(got.Chain) == 0 {
-			return nil, false
+			return nil, Unavailable
 		}
 		all = append(all, got.Chain...)
 	}
-	return all, true
+	return all, Located
 }
 
-func (c *Client) begin(ctx context.Context, args BeginArgs) BeginReply {
+func (c *Client) begin(ctx context.Context, args BeginArgs, room func(bytes int) bool) BeginReply {
 	reply := BeginReply{Outcome: Unavailable}
 	uncertain := false
 	args.MaxChain = maxChain
@@ -136,9 +143,9 @@
 		return reply.Outcome != Unavailable, nil
 	})
 	if reply.Outcome == Granted {
-		var complete bool
-		if reply.Chain, complete = c.completeChain(ctx, owner, args.Account, args.Parent, reply.Chain, reply.ChainBytes); !complete {
-			return BeginReply{Outcome: Unavailable, Uncertain: true}
+		var outcome Outcome
+		if reply.Chain, outcome = c.completeChain(ctx, owner, args.Account, args.Parent, reply.Chain, reply.ChainBytes, room); outcome != Located {
+			return BeginReply{Outcome: outcome, Uncertain: true}
 		}
 	}
 	reply.Uncertain = uncertain && reply.Outcome == Unavailable
@@ -207,7 +214,7 @@
 
 // locate asks the owners of all partitions for a turn. The outcome is UnknownParent only if
 // the hosts that answered have the complete state of all partitions between them.
-func (c *Client) locate(callerCtx context.Context, args LocateArgs) LocateReply {
+func (c *Client) locate(callerCtx context.Context, args LocateArgs, room func(bytes int) bool) LocateReply {
 	ctx, cancel := context.WithTimeout(callerCtx, c.ownerTimeout())
 	defer cancel()
 	args.WaitMS = remainingMS(ctx)
@@ -233,11 +240,7 @@
 		case ForeignParent, HistoryTooLong:
 			return reply.LocateReply
 		case Located:
-			chain, complete := c.completeChain(callerCtx, reply.host, args.Account, args.Turn, reply.Chain, reply.ChainBytes)
-			if !complete {
-				return LocateReply{Outcome: Unavailable}
-			}
-			reply.Chain = chain
+			reply.Chain, reply.Outcome = c.completeChain(callerCtx, reply.host, args.Account, args.Turn, reply.Chain, reply.ChainBytes, room)
 			return reply.LocateReply
 		}
 		certain |= reply.Certain
--- a/internal/turns/locate_test.go
+++ b/internal/turns/locate_test.go
@@ -58,7 +58,7 @@
 	f := &largeFleet{}
 	client := turns.NewClient(f, f, func() time.Duration { return 0 })
 	client.SetOwner(newOwner(storelog.NewMemory(), nil))
-	reply, _ := client.Begin(deadline(t, time.Second), turns.BeginArgs{Account: "a", Program: "p", Turn: "t", Parent: "unknown", MaxTokens: 1})
+	reply, _ := client.Begin(deadline(t, time.Second), turns.BeginArgs{Account: "a", Program: "p", Turn: "t", Parent: "unknown", MaxTokens: 1}, nil)
 	is.Equal(reply.Outcome, turns.UnknownParent)
 	is.True(f.calls.Load() <= turns.Partitions+3)
 }
--- a/internal/turns/long_test.go
+++ b/internal/turns/long_test.go
@@ -84,7 +84,7 @@
 func chain(t *testing.T, c *turns.Client, program, id, parent string) []byte {
 	t.Helper()
 	reply, _ := c.Begin(deadline(t, 10*time.Second), turns.BeginArgs{Account: "a", Program: program, Turn: id, Parent: parent,
-		MaxTokens: 100, RetentionMS: 60_000})
+		MaxTokens: 100, RetentionMS: 60_000}, nil)
 	if reply.Outcome != turns.Granted {
 		t.Fatalf("turn %s: outcome %d", id, reply.Outcome)
 	}
@@ -184,7 +184,7 @@
 	}
 	for _, program := range []string{"p", "another program"} {
 		reply, _ := client.Begin(deadline(t, time.Second), turns.BeginArgs{Account: "a", Program: program, Turn: "next", Parent: parent,
-			MaxTokens: 100, RetentionMS: 60_000})
+			MaxTokens: 100, RetentionMS: 60_000}, nil)
 		is.Equal(reply.Outcome, turns.HistoryTooLong)
 	}
 }
@@ -229,3 +229,23 @@
 	}
 	is.Equal(owner.PendingContent(), 0)
 }
+
+// TestHistoryWithoutRoomIsNotRead guards against hosts that exceed their memory because many turns read
+// long histories at once. What the turn reserved must be settled.
+func TestHistoryWithoutRoomIsNotRead(t *testing.T) {
+	is := is.New(t)
+	client, owner := newClient(&strictLog{Memory: storelog.NewMemory()}, turns.DefaultLimits())
+	long := ended("long", "", 10)
+	long.Input = text(4 << 20)
+	store(t, client, long, nil)
+	for _, program := range []string{"p", "another program"} {
+		asked := 0
+		reply, _ := client.Begin(deadline(t, time.Second), turns.BeginArgs{Account: "a", Program: program, Turn: "next " + program, Parent: "long",
+			MaxTokens: 100, RetentionMS: 60_000}, func(bytes int) bool { asked = bytes; return false })
+		is.Equal(reply.Outcome, turns.NoRoom)
+		is.Equal(reply.Uncertain, program == "p") // the history of another program is read first
+		is.Equal(asked, len(long.Input)+len(long.Output))
+		is.Equal(len(reply.Chain), 0)
+	}
+	is.True(owner.ContentInMemory() <= turns.DefaultLimits().ContentBytes)
+}
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -19,6 +19,8 @@
 	Located
 	// HistoryTooLong: the history is longer than hosts pass on.
 	HistoryTooLong
+	// NoRoom: the host that asked has no memory for the history. Owners do not reply with it.
+	NoRoom
 )
 
 // BeginArgs requests that an owner begin a turn.
--- a/internal/turns/slow_test.go
+++ b/internal/turns/slow_test.go
@@ -65,7 +65,7 @@
 				for round := range rounds {
 					id := program + "-" + strconv.Itoa(round)
 					reply, _ := client.Begin(context.Background(), turns.BeginArgs{Account: "a", Program: program, Turn: id, Budget: 1000,
-						MaxTokens: 100, RetentionMS: 60_000})
+						MaxTokens: 100, RetentionMS: 60_000}, nil)
 					is.Equal(reply.Outcome, turns.Granted)
 					is.True(client.End(context.Background(), turns.Turn{ID: id, Account: "a", Program: program, State: turns.Ended, Tokens: 10,
 						Expiry: time.Now().Add(time.Minute).UnixMilli()}).Kept)
