account: a host that has joined anew is not refused for its former incarnation

Cause: a host asks for tokens of an account with one call at a time. A call of the former incarnation, to report or return tokens, was under way while the host was paused and evicted; requests of the new incarnation waited for it, and its refusal ended them all. Now it is dropped, and the waiting requests are asked for with the new incarnation. Ruled out: readiness and the view, which name the new incarnation when the request comes.

--- a/cmd/cowslipgw/process_site_test.go
+++ b/cmd/cowslipgw/process_site_test.go
@@ -67,7 +67,7 @@
 [limits]
 entry_hosts_ttl = 1s
 [log]
-level = warning
+level = info
 `
 
 // startProcessSite starts stand-ins and hosts as processes and publishes the example
--- a/internal/account/limiter.go
+++ b/internal/account/limiter.go
@@ -199,6 +199,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if result.Problem != nil && req.Origin != l.origin() {
+		// The owner refused an earlier incarnation of this host, which has joined anew since.
+		account.resetIncarnation(l.origin())
+		account.requesting = len(account.waiters) > 0
+		return account.requesting
+	}
 	if err != nil {
 		if result.Problem != nil && result.Problem.Code == codeStaleGrant {
 			account.pending = nil
