turns: a partition stays loaded for 30 s after it has moved away

A partition that moves back and forth would be read anew each time. The test of grants that are kept was without effect (its expired turn belonged to the same program, so nothing was unloaded); it now checks that.

--- a/internal/turns/handover_test.go
+++ b/internal/turns/handover_test.go
@@ -137,6 +137,15 @@
 	})
 }
 
+// samePartitionAs returns the name of another program in the partition of a program of account a.
+func samePartitionAs(program string) string {
+	for n := 0; ; n++ {
+		if name := "other" + strconv.Itoa(n); turns.PartitionOf("a", name) == turns.PartitionOf("a", program) {
+			return name
+		}
+	}
+}
+
 // TestUnloadedPartitionKeepsOpenGrants guards against a budget that is exceeded because an owner
 // forgot, with the records of a partition, what it had granted without a record.
 func TestUnloadedPartitionKeepsOpenGrants(t *testing.T) {
@@ -145,22 +154,56 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		log := storelog.NewMemory()
 		first := newSwitchedOwner(ctx, log, true)
-		is.Equal(begin(t, first.Owner, "t0", "", 900).Outcome, turns.Granted)
-		is.True(first.End(deadline(t, time.Second), ended("t0", "", 100)).Kept)
+		is.Equal(begin(t, first.Owner, "first", "", 900).Outcome, turns.Granted)
+		is.True(first.End(deadline(t, time.Second), ended("first", "", 100)).Kept)
 		is.Equal(begin(t, first.Owner, "open1", "", 900).Outcome, turns.Granted)
 		is.Equal(begin(t, first.Owner, "open2", "", 900).Outcome, turns.Granted)
 		// Another program of the partition expires, so that the host drops the partition.
 		other := ended("x", "", 1)
 		other.Expiry = time.Now().Add(-time.Minute).UnixMilli()
+		other.Program = samePartitionAs("p")
 		is.True(first.End(deadline(t, time.Second), other).Kept)
 		first.isFirst = false
-		time.Sleep(10 * time.Second)
+		time.Sleep(time.Minute)
+		is.True(!first.Loaded())
 		first.isFirst = true
 		is.True(300+grantAll(t, 900, first.Owner) <= 900)
 		cancel()
 	})
 }
 
+// TestReloadedPartitionCountsPreallocations guards against a budget that is exceeded because an owner
+// that loads a partition again knows the preallocation of another one only from its own records.
+func TestReloadedPartitionCountsPreallocations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		log := storelog.NewMemory()
+		const budget = 2000
+		other := newOwner(log, nil)
+		is.Equal(begin(t, other, "b1", "", budget).Outcome, turns.Granted)
+		first := newSwitchedOwner(ctx, log, true)
+		is.Equal(begin(t, first.Owner, "a1", "", budget).Outcome, turns.Granted)
+		is.True(first.End(deadline(t, time.Second), ended("b1", "", 100)).Kept)
+		expired := ended("x", "", 1)
+		expired.Program = samePartitionAs("p")
+		expired.Expiry = time.Now().Add(-time.Minute).UnixMilli()
+		is.True(first.End(deadline(t, time.Second), expired).Kept)
+		first.isFirst = false
+		time.Sleep(time.Minute)
+		is.True(!first.Loaded())
+		granted := 200 + grantAll(t, budget, first.Owner)
+		log.SetFault(down)
+		for n := 0; begin(t, other, "outage"+strconv.Itoa(n), "", budget).Outcome == turns.Granted; n++ {
+			granted += 100
+		}
+		is.True(granted <= budget)
+		log.SetFault(nil)
+		time.Sleep(time.Second)
+		cancel()
+	})
+}
+
 // TestExpiredTurnsAreRemoved guards against records that stay in the store for good, and against
 // programs without a turn that stay in memory.
 func TestExpiredTurnsAreRemoved(t *testing.T) {
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -41,6 +41,8 @@
 	// are pending.
 	loaded bool
 	end    int64
+	// ownedAt is when this host was last found to be the partition's first candidate.
+	ownedAt time.Time
 	// verifiedAt is when the store last confirmed that the partition ends at end.
 	verifiedAt time.Time
 	turns      map[string]*Turn
--- a/internal/turns/sweep.go
+++ b/internal/turns/sweep.go
@@ -15,6 +15,9 @@
 	// sweepBatch is the number of turns at which one sweep of a partition stops
 	// collecting.
 	sweepBatch = 200
+	// unloadDelay is how long a partition stays loaded after this host was its first candidate.
+	// Partitions move back and forth while a host is slow.
+	unloadDelay = 30 * time.Second
 )
 
 // Sweep removes expired turns until ctx ends. Owns reports whether this host is the first
@@ -32,6 +35,7 @@
 				p.unloadExpired(time.Now())
 				continue
 			}
+			p.markOwned(time.Now())
 			if err := o.sweepPartition(ctx, p); err != nil {
 				o.events.Log(event.TurnsSweepFailed, event.Fields{"partition": p.id, "error": err.Error()})
 				break // The store would probably keep the other partitions waiting, too.
@@ -95,6 +99,13 @@
 	}
 }
 
+// markOwned records that this host is the first candidate for the partition.
+func (p *partition) markOwned(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ownedAt = now
+}
+
 // unloadExpired unloads the partition if some of its programs have expired as far as this
 // host knows. They may have gone on at the owner, so that dropping only them would leave
 // programs without their first turns when the partition returns.
@@ -106,7 +117,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropEmptyProgramsLocked(now)
-	if p.loaded && !p.writing && len(p.pending) == 0 && len(p.expiredLocked(now, 1)) > 0 {
+	isIdle := !p.writing && len(p.pending) == 0 && now.Sub(p.ownedAt) >= unloadDelay
+	if p.loaded && isIdle && len(p.expiredLocked(now, 1)) > 0 {
 		p.unloadLocked()
 	}
 }
