--- a/internal/gateway/cut_answer_test.go
+++ b/internal/gateway/cut_answer_test.go
@@ -11,28 +11,16 @@
 	"github.com/matryer/is"
 )
 
-// rawReplica accepts connections, reads one request on each, writes the same bytes and closes.
+// rawReplica reads one request on each connection, writes the same bytes and closes.
 func rawReplica(t *testing.T, answer string) *httptest.Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(c, answer)
-			}
-			_ = c.Close()
+	return serveRaw(t, func(c net.Conn) {
+		defer c.Close()
+		if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(c, answer)
 		}
-	}()
-	return &httptest.Server{URL: "http://" + listener.Addr().String()}
+	})
 }
 
 // TestAnswerCutBeforeItsBody guards against an answer that looks whole although the replica ended
--- a/internal/gateway/repeated_refusal_test.go
+++ b/internal/gateway/repeated_refusal_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// start starts the replica and returns a server that stands for its address.
-func (r *repeatingReplica) start(t *testing.T) *httptest.Server {
+// serveRaw passes each connection to serve. It returns a server that stands for the address.
+func serveRaw(t *testing.T, serve func(net.Conn)) *httptest.Server {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -65,7 +65,7 @@
 			if err != nil {
 				return
 			}
-			go r.serve(c)
+			go serve(c)
 		}
 	}()
 	return &httptest.Server{URL: "http://" + listener.Addr().String()}
@@ -81,7 +81,7 @@
 				is := is.New(t)
 				fleet := newTestFleet(t, 2)
 				r := &repeatingReplica{identified: identified, status: status}
-				server := r.start(t)
+				server := serveRaw(t, r.serve)
 				for _, gw := range fleet {
 					gw.addReplica("r", server)
 				}
--- a/internal/storelog/log.go
+++ b/internal/storelog/log.go
@@ -92,7 +92,7 @@
 			return Follow(ctx, log, p, start, apply)
 		}
 		last := page.Records[len(page.Records)-1].Key
-		if last <= after {
+		if last == after {
 			return 0, errNoProgress
 		}
 		after = last
--- a/internal/turns/history.go
+++ b/internal/turns/history.go
@@ -7,6 +7,7 @@
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
+	"cowslipgw/internal/event"
 	"cowslipgw/internal/storelog"
 )
 
@@ -86,7 +87,7 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
-	all := make(contents, 0, 2*len(parts))
+	all := make(segments, 0, 2*len(parts))
 	for _, part := range parts {
 		all = append(all, part.input, part.output)
 	}
@@ -122,10 +123,7 @@
 	return found, nil
 }
 
-// drop removes the first n bytes.
-func (c contents) drop(n int) {
-	for i, part := range c {
-		k := min(n, len(part))
-		c[i], n = part[k:], n-k
-	}
+// historyFailed logs that the history of a turn could not be read.
+func (o *Owner) historyFailed(p *partition, turn string, err error) {
+	o.events.Log(event.HistoryUnavailable, event.Fields{"partition": p.id, "turn": turn, "error": err.Error()})
 }
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"cowslipgw/internal/event"
-	"cowslipgw/internal/guard"
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/storelog"
 )
@@ -122,11 +120,6 @@
 	return reply
 }
 
-// historyFailed logs that the history of a turn could not be read.
-func (o *Owner) historyFailed(p *partition, turn string, err error) {
-	o.events.Log(event.HistoryUnavailable, event.Fields{"partition": p.id, "turn": turn, "error": err.Error()})
-}
-
 // outcomeOf returns the outcome of a completed reservation.
 func (p *partition) outcomeOf(c *change) Outcome {
 	p.mu.Lock()
@@ -242,54 +235,6 @@
 	return reply, history, c
 }
 
-// End settles a turn. Any number of hosts may be lost at once, so a turn that is held only in the
-// memory of hosts does not count as stored.
-func (o *Owner) End(ctx context.Context, t Turn) EndReply {
-	p := o.partitions[PartitionOf(t.Account, t.Program)]
-	if !o.ensureLoaded(ctx, p) {
-		return EndReply{}
-	}
-	c, reply := o.settle(p, t)
-	if c == nil {
-		return reply
-	}
-	select {
-	case <-c.done:
-	case <-ctx.Done():
-		return EndReply{}
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return EndReply{Kept: !c.rejected, Rejected: c.rejected}
-}
-
-// settle queues the settlement of a turn, in pieces if it is too long for one record. It returns
-// the change that is stored last, or the reply if there is nothing to store.
-func (o *Owner) settle(p *partition, t Turn) (*change, EndReply) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.loaded {
-		return nil, EndReply{}
-	}
-	if c := p.pendingLocked(t.ID, t.State); c != nil {
-		return c, EndReply{}
-	}
-	if known := p.turns[t.ID]; known != nil && known.State >= t.State {
-		return nil, EndReply{Kept: true}
-	}
-	if size := int64(len(t.Input) + len(t.Output)); size > shortContents && o.held.Load()+size > int64(o.limits.ContentBytes) {
-		// The store does not keep up. The host holds the turn until there is room.
-		return nil, EndReply{}
-	}
-	var last *change
-	for piece := range Pieces(t, nil, o.limits.pieceBytes()) {
-		piece.offset = -1
-		last = &change{turn: piece, done: make(chan struct{})}
-		o.enqueueLocked(p, last)
-	}
-	return last, EndReply{}
-}
-
 // enqueueLocked applies a change and queues it for the store.
 func (o *Owner) enqueueLocked(p *partition, c *change) {
 	t := c.turn
@@ -303,84 +248,6 @@
 	}
 }
 
-// Locate looks for a turn of an account in all partitions that are loaded here. If it is
-// not there, Locate reads the newest records of the partitions that owns reports, searches
-// them, and marks them as certain.
-func (o *Owner) Locate(ctx context.Context, args LocateArgs, owns func(partition int) bool) LocateReply {
-	for _, p := range o.partitions {
-		if found, _ := o.locate(ctx, p, args); found.Outcome != UnknownParent {
-			return found
-		}
-	}
-	reply := LocateReply{Outcome: UnknownParent}
-	var owned []*partition
-	for _, p := range o.partitions {
-		if owns(p.id) {
-			owned = append(owned, p)
-		}
-	}
-	for n, synced := range o.syncAll(ctx, owned) {
-		if !synced {
-			continue
-		}
-		found, loaded := o.locate(ctx, owned[n], args)
-		if found.Outcome != UnknownParent {
-			return found
-		}
-		if loaded {
-			reply.Certain |= 1 << owned[n].id
-		}
-	}
-	return reply
-}
-
-// locate looks for a turn in one partition. Loaded reports whether the partition has its turns in
-// memory.
-func (o *Owner) locate(ctx context.Context, p *partition, args LocateArgs) (found LocateReply, loaded bool) {
-	found, history, loaded := p.locate(args.Account, args.Turn)
-	if found.Outcome != Located {
-		return found, loaded
-	}
-	var err error
-	if found.Chain, err = o.history(ctx, p, history, 0, args.MaxChain); err != nil {
-		o.historyFailed(p, args.Turn, err)
-		return LocateReply{Outcome: Unavailable}, loaded
-	}
-	return found, loaded
-}
-
-// History returns a part of the history of a turn that Begin or Locate has reported.
-func (o *Owner) History(ctx context.Context, args HistoryArgs) HistoryReply {
-	for _, p := range o.partitions {
-		found, history, _ := p.locate(args.Account, args.Turn)
-		if found.Outcome != Located {
-			continue
-		}
-		chain, err := o.history(ctx, p, history, args.From, args.Limit)
-		if err != nil {
-			o.historyFailed(p, args.Turn, err)
-			return HistoryReply{}
-		}
-		return HistoryReply{Found: true, Chain: chain}
-	}
-	return HistoryReply{}
-}
-
-// syncAll reads the newest records of partitions concurrently, since a slow store answers each
-// read late, and reports for which of them it has.
-func (o *Owner) syncAll(ctx context.Context, partitions []*partition) []bool {
-	synced := make([]bool, len(partitions))
-	var wait sync.WaitGroup
-	for n, p := range partitions {
-		wait.Go(func() {
-			// A panic leaves the partition uncertain.
-			guard.Run(o.events, "partition read", func() { synced[n] = o.ensureSynced(ctx, p) })
-		})
-	}
-	wait.Wait()
-	return synced
-}
-
 // Preload loads the partitions for which wanted returns true.
 func (o *Owner) Preload(ctx context.Context, wanted func(partition int) bool) {
 	for _, p := range o.partitions {
--- a/internal/turns/piece.go
+++ b/internal/turns/piece.go
@@ -33,7 +33,7 @@
 // that of the whole turn. Owners of any build can store and continue them.
 func Pieces(t Turn, history []byte, limit int) iter.Seq[Turn] {
 	return func(yield func(Turn) bool) {
-		rest := contents{history, t.Input, t.Output}
+		rest := segments{history, t.Input, t.Output}
 		if len(history) == 0 && rest.size() <= limit {
 			yield(t)
 			return
@@ -60,24 +60,32 @@
 	return id
 }
 
-// contents are byte slices that are read as one.
-type contents [][]byte
+// segments are byte slices that are read as one.
+type segments [][]byte
 
-func (c contents) size() int {
+func (s segments) size() int {
 	total := 0
-	for _, part := range c {
+	for _, part := range s {
 		total += len(part)
 	}
 	return total
 }
 
 // take removes the first n bytes and returns a copy of them.
-func (c contents) take(n int) []byte {
+func (s segments) take(n int) []byte {
 	taken := make([]byte, 0, n)
-	for i, part := range c {
+	for i, part := range s {
 		k := min(n-len(taken), len(part))
 		taken = append(taken, part[:k]...)
-		c[i] = part[k:]
+		s[i] = part[k:]
 	}
 	return taken
 }
+
+// drop removes the first n bytes.
+func (s segments) drop(n int) {
+	for i, part := range s {
+		k := min(n, len(part))
+		s[i], n = part[k:], n-k
+	}
+}
