turns: slices.Reverse for a path, and shared steps in the tests of moved partitions

No behaviour changes and no assertion is dropped. With the grants without a record forgotten at an unload, or the preallocations in an owner's own records ignored at a load, TestUnloadedPartitionKeepsOpenGrants and TestReloadedPartitionCountsPreallocations fail as before.

--- a/internal/turns/handover_test.go
+++ b/internal/turns/handover_test.go
@@ -28,6 +28,12 @@
 	return s
 }
 
+// handOver makes another host the first candidate.
+func handOver(from, to *switchedOwner) {
+	from.isFirst.Store(false)
+	to.isFirst.Store(true)
+}
+
 // continueProgram begins and ends turn number n of program p, which continues the one before.
 func continueProgram(t *testing.T, o *switchedOwner, n, budget int) turns.BeginReply {
 	t.Helper()
@@ -64,15 +70,13 @@
 		for range 2 {
 			is.Equal(string(continueProgram(t, first, n, 0).Chain), chainOf(n))
 			n++
-			first.isFirst.Store(false)
-			second.isFirst.Store(true)
+			handOver(first, second)
 			for range 4 {
 				time.Sleep(30 * time.Second)
 				is.Equal(string(continueProgram(t, second, n, 0).Chain), chainOf(n))
 				n++
 			}
-			first.isFirst.Store(true)
-			second.isFirst.Store(false)
+			handOver(second, first)
 			time.Sleep(10 * time.Second)
 		}
 		reply := continueProgram(t, first, n, 0)
@@ -104,14 +108,12 @@
 		for range 4 {
 			use(first)
 		}
-		first.isFirst.Store(false)
-		second.isFirst.Store(true)
+		handOver(first, second)
 		for range 4 {
 			time.Sleep(30 * time.Second)
 			use(second)
 		}
-		first.isFirst.Store(true)
-		second.isFirst.Store(false)
+		handOver(second, first)
 		for range 10 {
 			use(first)
 		}
@@ -152,6 +154,20 @@
 	}
 }
 
+// unload makes another host the first candidate until the owner has dropped the partition of program
+// p, which it does because another program of the partition has expired.
+func (s *switchedOwner) unload(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	expired := ended("x", "", 1)
+	expired.Program = samePartitionAs("p")
+	expired.Expiry = time.Now().Add(-time.Minute).UnixMilli()
+	is.True(s.End(deadline(t, time.Second), expired).Kept)
+	s.isFirst.Store(false)
+	time.Sleep(time.Minute)
+	is.True(!s.Loaded())
+}
+
 // TestUnloadedPartitionKeepsOpenGrants guards against a budget that is exceeded because an owner
 // forgot, with the records of a partition, what it had granted without a record.
 func TestUnloadedPartitionKeepsOpenGrants(t *testing.T) {
@@ -164,14 +180,7 @@
 		is.True(first.End(deadline(t, time.Second), ended("first", "", 100)).Kept)
 		is.Equal(begin(t, first.Owner, "open1", "", 900).Outcome, turns.Granted)
 		is.Equal(begin(t, first.Owner, "open2", "", 900).Outcome, turns.Granted)
-		// Another program of the partition expires, so that the host drops the partition.
-		other := ended("x", "", 1)
-		other.Expiry = time.Now().Add(-time.Minute).UnixMilli()
-		other.Program = samePartitionAs("p")
-		is.True(first.End(deadline(t, time.Second), other).Kept)
-		first.isFirst.Store(false)
-		time.Sleep(time.Minute)
-		is.True(!first.Loaded())
+		first.unload(t)
 		first.isFirst.Store(true)
 		is.True(300+grantAll(t, 900, first.Owner) <= 900)
 		cancel()
@@ -191,13 +200,7 @@
 		first := newSwitchedOwner(ctx, log, true)
 		is.Equal(begin(t, first.Owner, "a1", "", budget).Outcome, turns.Granted)
 		is.True(first.End(deadline(t, time.Second), ended("b1", "", 100)).Kept)
-		expired := ended("x", "", 1)
-		expired.Program = samePartitionAs("p")
-		expired.Expiry = time.Now().Add(-time.Minute).UnixMilli()
-		is.True(first.End(deadline(t, time.Second), expired).Kept)
-		first.isFirst.Store(false)
-		time.Sleep(time.Minute)
-		is.True(!first.Loaded())
+		first.unload(t)
 		granted := 200 + grantAll(t, budget, first.Owner)
 		log.SetFault(down)
 		for n := 0; begin(t, other, "outage"+strconv.Itoa(n), "", budget).Outcome == turns.Granted; n++ {
--- a/internal/turns/history.go
+++ b/internal/turns/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
@@ -49,9 +50,7 @@
 		}
 		t = parent
 	}
-	for i, j := 0, len(steps)-1; i < j; i, j = i+1, j-1 {
-		steps[i], steps[j] = steps[j], steps[i]
-	}
+	slices.Reverse(steps)
 	return steps, true
 }
 
