gateway: the log says why a caller counts as disconnected and what could not be written

The connections of callers keep their last errors. 1701 to 1704 say `disconnect` and `error`; the new event 1707 says which answer could not be written. A request that was answered 408 because its body was late is no longer logged as 1704: its own read limit had cancelled it. `cowslipgw_requests_unanswered_total{reason}` counts requests that ended without a complete answer, `cowslipgw_caller_write_failures_total{reason}` the answers that could not be written.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -168,7 +168,8 @@
 func (p *gatewayProcess) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	frontend := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}
+	frontend := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout,
+		ConnContext: gateway.ConnContext}
 	group, runCtx := errgroup.WithContext(ctx)
 	listeners := []endpoint{
 		{frontend, p.settings.Frontend},
@@ -189,6 +190,9 @@
 		if err != nil {
 			return oops.Wrapf(err, "listen on %s", l.addr)
 		}
+		if l.server == frontend {
+			listener = p.gateway.CallerListener(listener)
+		}
 		group.Go(func() error {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return oops.Wrapf(err, "serve on %s", l.addr)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -24,6 +24,7 @@
 	HistoryUnavailable   = define(1739, logrus.WarnLevel, "history of a turn could not be read from the store")
 	TurnsSweepFailed     = define(1737, logrus.WarnLevel, "expired turns of a partition could not be removed")
 	ReservationExceeded  = define(1706, logrus.WarnLevel, "stream was cut because it exceeds the tokens reserved for it")
+	AnswerNotWritten     = define(1707, logrus.WarnLevel, "end of an answer could not be written to the caller")
 	StreamResumed        = define(1705, logrus.InfoLevel, "stream was resumed after its connection to the replica broke")
 	TurnStoreTimeout     = define(1734, logrus.WarnLevel, "answer was not completed because its turn could not be stored in time")
 	TurnStoreFailed      = define(1735, logrus.ErrorLevel, "turn could not be stored")
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -31,6 +31,7 @@
 		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
 	}
 	x.call = call
+	callerConnOf(r.Context()).setRequest(call.ID)
 	table := x.g.config.Table()
 	if table == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryOtherHost}
--- /dev/null
+++ b/internal/gateway/caller_conn.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+
+	"cowslipgw/internal/event"
+)
+
+// callerConn is the connection of a caller. It keeps the errors that net/http does not pass on:
+// why the caller counts as disconnected, and that the end of an answer could not be written.
+type callerConn struct {
+	*net.TCPConn
+	events *event.Logger
+	// request is the ID of the request that was last received.
+	request atomic.Pointer[string]
+	// readErr and writeErr are the last errors since a read or write succeeded; nil if none.
+	readErr, writeErr atomic.Pointer[error]
+}
+
+// callerConnKey is the key of the callerConn in the context of a request.
+type callerConnKey struct{}
+
+// ConnContext adds the connection of a caller to the context of its requests. It is for
+// http.Server.ConnContext.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if caller, ok := c.(*callerConn); ok {
+		return context.WithValue(ctx, callerConnKey{}, caller)
+	}
+	return ctx
+}
+
+// callerConnOf returns the connection of a request's caller; nil if its server does not use
+// ConnContext.
+func callerConnOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	record(&c.readErr, err)
+	return n, err
+}
+
+// Write implements net.Conn. It logs the first error of an answer.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if failedBefore := c.writeErr.Load() != nil; err != nil && !failedBefore {
+		reason := disconnectReason(err)
+		callerWriteFailures(reason).Inc()
+		fields := event.Fields{"addr": c.RemoteAddr().String(), "disconnect": reason, "error": err.Error(), "unwritten": len(p) - n}
+		if id := c.request.Load(); id != nil {
+			fields["request"] = *id
+		}
+		c.events.Log(event.AnswerNotWritten, fields)
+	}
+	record(&c.writeErr, err)
+	return n, err
+}
+
+// record stores err; nil clears it.
+func record(last *atomic.Pointer[error], err error) {
+	switch {
+	case err != nil:
+		last.Store(&err)
+	case last.Load() != nil:
+		last.Store(nil)
+	}
+}
+
+// setRequest sets the ID of the request that is received.
+func (c *callerConn) setRequest(id string) {
+	if c != nil {
+		c.request.Store(&id)
+	}
+}
+
+// disconnect returns why the context of a request was cancelled, and the error.
+func (c *callerConn) disconnect() (reason string, err error) {
+	if c == nil {
+		return disconnectUnknown, nil
+	}
+	for _, last := range []*atomic.Pointer[error]{&c.writeErr, &c.readErr} {
+		if err := last.Load(); err != nil {
+			return disconnectReason(*err), *err
+		}
+	}
+	return disconnectUnknown, nil
+}
+
+// Reasons for which a caller counts as disconnected.
+const (
+	// disconnectClosed: the caller closed its connection, or at least its sending direction.
+	disconnectClosed = "closed"
+	// disconnectReset: the caller or the network reset the connection.
+	disconnectReset = "reset"
+	// disconnectTimeLimit: a time limit of this host for reading or writing has passed.
+	disconnectTimeLimit = "time limit"
+	// disconnectOwnClose: this host closed the connection.
+	disconnectOwnClose = "closed by this host"
+	disconnectUnknown  = "unknown"
+)
+
+// disconnectReason classifies an error of a caller's connection.
+func disconnectReason(err error) string {
+	switch {
+	case errors.Is(err, io.EOF):
+		return disconnectClosed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return disconnectTimeLimit
+	case errors.Is(err, net.ErrClosed):
+		return disconnectOwnClose
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return disconnectReset
+	}
+	return disconnectUnknown
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -63,8 +64,12 @@
 	// beginTime is how long the turn waited to begin, and storeTime how long its end waited
 	// until it was stored.
 	beginTime, storeTime time.Duration
-	// callerLeft is set if the caller closed its connection before the request ended.
+	// callerLeft is set if the caller disconnected before the request ended.
 	callerLeft bool
+	// disconnect says why the caller counts as disconnected; empty if it does not.
+	// disconnectErr is the error of its connection; nil if there was none.
+	disconnect    string
+	disconnectErr error
 }
 
 // refuse sends a refusal and refunds the quota if the request did not run.
@@ -82,6 +87,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// noteDisconnect records whether the caller counts as disconnected, and why. A time limit of this
+// host cancels the request as well.
+func (x *exchange) noteDisconnect(ctx context.Context) {
+	if ctx.Err() == nil {
+		return
+	}
+	x.disconnect, x.disconnectErr = callerConnOf(ctx).disconnect()
+	x.callerLeft = x.disconnect != disconnectTimeLimit || x.status == 0
+}
+
 // accountName returns the name of the client account; empty on public routes.
 func (x *exchange) accountName() string {
 	if x.account == nil {
@@ -139,6 +154,18 @@
 	if x.route != nil && (x.mayHaveRun && x.reason != "" || x.detail != "") {
 		fields["digest"], fields["path_digest"] = x.digest().Exact.String(), x.digest().Path.String()
 	}
+	if x.disconnect != "" {
+		fields["disconnect"] = x.disconnect
+		if x.disconnectErr != nil {
+			fields["error"] = x.disconnectErr.Error()
+		}
+	}
+	switch {
+	case x.callerLeft:
+		requestsUnanswered(x.disconnect).Inc()
+	case x.status == 0:
+		requestsUnanswered(x.reason).Inc()
+	}
 	switch {
 	case x.callerLeft:
 		requestsAbandoned.Inc()
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -136,6 +136,9 @@
 func newTestGatewayIn(t *testing.T, fleet *testFleet, log *storelog.Memory, freshness time.Duration, upstreams ...http.HandlerFunc) *testGateway {
 	t.Helper()
 	events := event.Discard()
+	if fleet.events != nil {
+		events = fleet.events
+	}
 	share := []route.TrafficShare{{Service: "s", Weight: 1}}
 	newRoute := func(name string, kind route.Kind, attempts int) *route.Route {
 		return &route.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Shares: share, Timeout: 2 * time.Second,
@@ -171,7 +174,9 @@
 	relays := httptest.NewServer(g.RelayHandler(func(ip string) bool { return ip == "127.0.0.1" }))
 	t.Cleanup(relays.Close)
 	fleet.addRelay(strings.TrimPrefix(relays.URL, "http://"), sender.Stranded)
-	gw.entry = httptest.NewServer(g)
+	gw.entry = httptest.NewUnstartedServer(g)
+	gw.entry.Listener, gw.entry.Config.ConnContext = g.CallerListener(gw.entry.Listener), gateway.ConnContext
+	gw.entry.Start()
 	t.Cleanup(gw.entry.Close)
 	for config.Table() == nil {
 		time.Sleep(time.Millisecond)
@@ -181,6 +186,8 @@
 
 // testFleet is a fleet whose hosts call each other without a network.
 type testFleet struct {
+	// events is the log of all hosts; nil discards it.
+	events *event.Logger
 	hosts  []peers.Host
 	pacers map[string]*pacing.Pacer
 	tables []*quarantine.Table
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,7 @@
 			guard.Log(g.events, "request", cause)
 			x.status, x.reason = 0, guard.ErrPanic.Error()
 		}
-		x.callerLeft = r.Context().Err() != nil
+		x.noteDisconnect(r.Context())
 		x.recordCost()
 		x.logRequest()
 		if cause != nil {
