gateway: callers that still send their body get their refusal, at once and without a reset

What callers saw: (1) 401, 404 and the 503 of a host without a confirmed configuration came only when the whole body had arrived, and never if it did not come: no time limit was set before the route was known. (2) A caller that was still sending as its time ran out got 408 and a closed connection; its next write failed, and the reset may overtake the answer.

Cause: net/http reads the rest of a body before it writes an answer, or closes the connection; only the refusal for lack of memory was written first.

Every refusal before the end of the body is now sent first, and the body is discarded afterwards within a time limit; a request counts as ended before that. If the body does not end, the connection is closed for writing and read for 1 s more (callerConn.Close), however net/http closes it. After a read that failed the answer says Connection: close, since net/http cancels later requests on the connection.

Requests without a body get no read limit any more: it applied to the read by which net/http notices a disconnect.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -21,6 +21,10 @@
 // writeGrace is how long after the deadline of a request the end of its answer may be written.
 const writeGrace = time.Second
 
+// discardTimeout limits the time in which the rest of a body may arrive if its request was refused
+// before its deadline was known.
+const discardTimeout = 10 * time.Second
+
 // defaultBodyLimit is the maximum body size if the configuration sets none.
 const defaultBodyLimit = 4 << 20
 
@@ -28,24 +32,30 @@
 func (x *exchange) admit(r *http.Request) *refusal {
 	call, err := x.g.codec.Decode(r)
 	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: err.Error()}
+		return &refusal{status: http.StatusBadRequest, reason: err.Error(), bodyUnread: true}
 	}
 	x.call = call
 	callerConnOf(r.Context()).setRequest(call.ID)
 	table := x.g.config.Table()
 	if table == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: retryOtherHost}
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet",
+			retryAfter: retryOtherHost, bodyUnread: true}
 	}
 	if f := x.authorize(r.Context(), table); f != nil {
+		f.bodyUnread = true
 		return f
 	}
 	x.deadline = x.start.Add(x.timeout())
-	x.limitConnection(x.deadline)
-	if f := x.readBody(r); f != nil {
-		return f
+	x.limitWrites(x.deadline)
+	if hasBody(r) {
+		x.limitReads(x.deadline)
+		if f := x.readBody(r); f != nil {
+			f.bodyUnread = true
+			return f
+		}
+		// The server keeps reading to notice that the caller disconnects.
+		x.limitReads(time.Time{})
 	}
-	// The server keeps reading to notice that the caller disconnects.
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 	// Reading the body may have taken long, so check again that the key has not gone stale.
 	if x.account != nil && !x.g.config.KeysUsable() {
 		return x.g.refuseStaleKeys()
@@ -58,7 +68,7 @@
 
 // bodyLimit returns the size of the longest body that is accepted, in bytes.
 func (x *exchange) bodyLimit() int64 {
-	if x.table.Limits.BodyBytes > 0 {
+	if x.table != nil && x.table.Limits.BodyBytes > 0 {
 		return x.table.Limits.BodyBytes
 	}
 	return defaultBodyLimit
@@ -83,27 +93,48 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
 	case errors.Is(err, errNoMemory):
-		f := refuseNoMemory()
-		f.bodyUnread = true
-		return f
+		return refuseNoMemory()
 	}
 	return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
 }
 
-// refuseEarly sends a refusal at once and discards the rest of the body: many callers read the
-// answer only after they have sent all of it, and would find the connection reset.
+// hasBody reports whether a request has a body.
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
+
+// refuseEarly sends a refusal at once, while the caller may still be sending the body.
 func (x *exchange) refuseEarly(r *http.Request, f refusal) {
 	connection := http.NewResponseController(x.w)
-	// Without it, the server would close the connection instead. Errors of both mean that the
-	// connection does not support it, or that the caller has disconnected.
+	// Without it, the server would wait for the body, or close the connection. Errors of both mean
+	// that the connection does not support it, or that the caller has disconnected.
 	_ = connection.EnableFullDuplex()
+	callerConnOf(r.Context()).setLinger(true)
+	// After a failed read, net/http cancels all later requests on the connection.
+	if r.Context().Err() != nil || f.status == http.StatusRequestEntityTooLarge {
+		x.w.Header().Set("Connection", "close")
+	}
 	x.refuse(f)
 	_ = connection.Flush()
-	if r.Header.Get("Expect") != "" {
-		return // the caller waits with the body
+	// A caller that expects 100 Continue waits with the body.
+	x.discardsBody = r.Header.Get("Expect") == ""
+}
+
+// discardBody reads the rest of the body of a request that was refused early: many callers read
+// the answer only after they have sent all of it, and would find the connection reset. If the body
+// does not end, it closes the connection: the rest must not be taken for the next request.
+func (x *exchange) discardBody(r *http.Request) {
+	deadline := x.deadline
+	switch soon := time.Now().Add(lingerTimeout); {
+	case x.g.draining.Load(), !deadline.IsZero() && deadline.Before(soon):
+		deadline = soon
+	case deadline.IsZero():
+		deadline = time.Now().Add(discardTimeout)
+	}
+	x.limitReads(deadline)
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, x.bodyLimit()+1))
+	if err != nil || n > x.bodyLimit() {
+		panic(http.ErrAbortHandler)
 	}
-	// The deadline of the request and its maximum size end this.
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, x.bodyLimit()))
+	callerConnOf(r.Context()).setLinger(false)
 }
 
 // refuseNoMemory refuses a request that would exceed the memory for long requests.
@@ -133,13 +164,16 @@
 	return x.route.Timeout
 }
 
-// limitConnection ends reads of the caller's body at the deadline, and writes to a caller that
-// does not read a little later. Each request sets both anew.
-func (x *exchange) limitConnection(deadline time.Time) {
-	connection := http.NewResponseController(x.w)
+// limitReads ends reads of the caller's body at the deadline. Each request sets it anew.
+func (x *exchange) limitReads(deadline time.Time) {
 	// An error means that the connection has no deadlines, as in tests without a network.
-	_ = connection.SetReadDeadline(deadline)
-	_ = connection.SetWriteDeadline(deadline.Add(writeGrace))
+	_ = http.NewResponseController(x.w).SetReadDeadline(deadline)
+}
+
+// limitWrites ends writes to a caller that does not read, a little after the deadline. Each request
+// sets it anew.
+func (x *exchange) limitWrites(deadline time.Time) {
+	_ = http.NewResponseController(x.w).SetWriteDeadline(deadline.Add(writeGrace))
 }
 
 // admitRate charges the request to the client account's quota.
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -8,10 +8,18 @@
 	"os"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"cowslipgw/internal/event"
 )
 
+const (
+	// lingerTimeout limits the time in which a connection that was closed is still read.
+	lingerTimeout = time.Second
+	// maxLingerBytes limits what is read of it.
+	maxLingerBytes = 4 << 20
+)
+
 // callerConn is the connection of a caller. It keeps the errors that net/http does not pass on:
 // why the caller counts as disconnected, and that the end of an answer could not be written.
 type callerConn struct {
@@ -21,6 +29,8 @@
 	request atomic.Pointer[string]
 	// readErr and writeErr are the last errors since a read or write succeeded; nil if none.
 	readErr, writeErr atomic.Pointer[error]
+	// linger is set if the caller may still be sending the body of a request that was answered.
+	linger atomic.Bool
 }
 
 // callerConnKey is the key of the callerConn in the context of a request.
@@ -65,6 +75,21 @@
 	return n, err
 }
 
+// Close implements net.Conn. A caller that is still sending reads the answer first: closing a
+// connection with unread bytes resets it, and the reset may overtake the answer.
+func (c *callerConn) Close() error {
+	if !c.linger.Swap(false) {
+		return c.TCPConn.Close()
+	}
+	err := c.CloseWrite()
+	go func() {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxLingerBytes))
+		_ = c.TCPConn.Close()
+	}()
+	return err
+}
+
 // record stores err; nil clears it.
 func record(last *atomic.Pointer[error], err error) {
 	switch {
@@ -82,6 +107,13 @@
 	}
 }
 
+// setLinger sets whether Close waits for what the caller still sends.
+func (c *callerConn) setLinger(linger bool) {
+	if c != nil {
+		c.linger.Store(linger)
+	}
+}
+
 // disconnect returns why the context of a request was cancelled, and the error.
 func (c *callerConn) disconnect() (reason string, err error) {
 	if c == nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -64,6 +64,8 @@
 	// beginTime is how long the turn waited to begin, and storeTime how long its end waited
 	// until it was stored.
 	beginTime, storeTime time.Duration
+	// discardsBody is set if the request was refused while the caller may still be sending the body.
+	discardsBody bool
 	// callerLeft is set if the caller disconnected before the request ended.
 	callerLeft bool
 	// disconnect says why the caller counts as disconnected; empty if it does not.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,12 +90,11 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
 	x := &exchange{g: g, w: w, start: time.Now(), memory: reservation{budget: g.memory}}
-	defer x.memory.release()
+	g.active.Add(1)
 	defer func() {
 		cause := recover()
+		x.memory.release()
 		if cause != nil && cause != http.ErrAbortHandler {
 			guard.Log(g.events, "request", cause)
 			x.status, x.reason = 0, guard.ErrPanic.Error()
@@ -103,15 +102,19 @@
 		x.noteDisconnect(r.Context())
 		x.recordCost()
 		x.logRequest()
+		g.active.Add(-1)
 		if cause != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if x.discardsBody {
+			x.discardBody(r)
+		}
 	}()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if f := x.admit(r); f != nil {
-		if f.bodyUnread {
+		if f.bodyUnread && hasBody(r) {
 			x.refuseEarly(r, *f)
 			return
 		}
