peers: connections between hosts start at the host's own address

Callers saw: a host with several addresses, or hosts on 127.x.y.z, could not have requests passed on by other hosts: the relay takes the sender for a stranger (event 1753) and declines. Cause: outgoing connections started at the address that the kernel chose, and the relay compares it with the addresses of the hosts' records. The pool for other hosts and the RPC caller now bind to the address of the host's record; the UDP socket did so already. Failed before: dialer_test.go:44: 127.0.0.1 != 127.0.0.2 host_pool_test.go:40: not true: accepting.table.IsHost(ip)

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -139,7 +139,7 @@
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
 		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), p.replicas, p.table.Known)
-	p.pool, p.hostPool = forward.NewPool(), forward.NewPool()
+	p.pool, p.hostPool = forward.NewPool(), forward.NewPoolWith(peers.NewDialer(p.table.Self()))
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
--- a/internal/peers/caller.go
+++ b/internal/peers/caller.go
@@ -27,7 +27,8 @@
 // a connection on which no call is answered for some time, because the other end may be
 // unreachable.
 type Caller struct {
-	table *Table
+	table  *Table
+	dialer *net.Dialer
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -45,7 +46,9 @@
 
 // NewCaller returns a caller that marks hosts in table as suspect when calls to them fail.
 func NewCaller(table *Table) *Caller {
-	return &Caller{table: table, links: make(map[string]*link)}
+	dialer := NewDialer(table.Self())
+	dialer.Timeout = dialTimeout
+	return &Caller{table: table, dialer: dialer, links: make(map[string]*link)}
 }
 
 // Call calls method on h. After an error other than rpc.ServerError it is unknown whether
@@ -58,7 +61,7 @@
 		c.links[h.Addr] = l
 	}
 	c.mu.Unlock()
-	client, err := l.connect(ctx, h.Addr)
+	client, err := l.connect(ctx, c.dialer, h.Addr)
 	if err != nil {
 		c.table.Suspect(h.ID)
 		return oops.With("host", h.ID).Wrapf(err, "connect to host")
@@ -115,13 +118,12 @@
 }
 
 // connect returns the open connection, or opens one.
-func (l *link) connect(ctx context.Context, addr string) (*rpc.Client, error) {
+func (l *link) connect(ctx context.Context, dialer *net.Dialer, addr string) (*rpc.Client, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
 		return l.client, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
