--- a/cmd/cowslipgw/soak.go
+++ b/cmd/cowslipgw/soak.go
@@ -81,8 +81,8 @@
 	if format == "json" {
 		return json.NewEncoder(w).Encode(report)
 	}
-	_, err := fmt.Fprintf(w, "seed %d: %d violations, requests %v, faults %v\n", report.Seed, len(report.Violations),
-		report.Requests, report.Faults)
+	_, err := fmt.Fprintf(w, "seed %d: %d violations, requests %v, without a complete answer %v, passed on %d, links lost %d, strangers %d, faults %v\n",
+		report.Seed, len(report.Violations), report.Requests, report.Ends, report.Logs.PassedOn, report.Logs.LinksLost, report.Logs.Strangers, report.Faults)
 	for _, violation := range report.Violations {
 		if err == nil {
 			_, err = fmt.Fprintln(w, "  "+violation)
--- a/cmd/cowslipgw/soak_test.go
+++ b/cmd/cowslipgw/soak_test.go
@@ -26,7 +26,7 @@
 		report, err := soak.Run(t.Context(), soak.Options{Seed: seed, Hosts: soakHosts, Dir: t.TempDir(),
 			Command: []string{os.Args[0], "gateway"}, Env: []string{runMainEnv + "=1"}})
 		is.NoErr(err)
-		t.Logf("seed %d: requests %v, faults %v", seed, report.Requests, report.Faults)
+		t.Logf("seed %d: requests %v, without a complete answer %v, logs %+v, faults %v", seed, report.Requests, report.Ends, report.Logs, report.Faults)
 		is.True(report.Requests[200] > 100)
 		for _, violation := range report.Violations {
 			t.Errorf("seed %d: %s", seed, violation)
