relay: answers outlast silent replicas beside failed connections

Callers saw answers cut or 502 after 0.4 s and more of silence of a sound replica, on connections that worked, up to all answers of the host at once; a read or a resumable stream ran again. The same happened to what a host passed on for another one.

Cause: quiet replicas lead to a check by a new connection. If that failed once (refused, or its opening packet lost at a full listen queue) and another host reached the replica, the link counted as lost, and with two such links all of them. Every answer over a lost link that had been quiet for 0.4 s was given up. One failed attempt to open a connection says nothing about open ones.

Evidence: TestQuietReplicaKeepsAnswers failed before for refused connections and for one and two lost packets, direct and through another host, e.g. "/unsafe/x, silent before "HTTP": status 502 ... connection to replica broke", "/draft/x, silent before "0\r\n\r\n": status 200, complete false", "32 requests ran 40 times" (126 answers in six of eight cases; the cases without a fault passed). TestFullListenQueueKeepsAnswers, with a real listener whose queue is full: "502 != 200", 8 of 8 runs.

Now a link counts as lost for open connections only after three rounds in a row in which the replica did not respond to a new connection of this host and then responded to one of another host. Rounds that overlap count once. A refusal, a connection, any byte from the replica and a pause of this host discard them, and an attempt that ends late on this host's own clock is none. On a stranded host the rounds may be at different replicas, if each link failed, too, and no replica was heard. New requests go through other hosts after one failed attempt as before.

New: events 1757 (failed check with its cause) and 1758 (answer given up), counters of both.

--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -38,6 +38,8 @@
 	RelayDeclined        = define(1751, logrus.InfoLevel, "request of another host was not passed on because this host does not use the replica")
 	LinkLost             = define(1748, logrus.WarnLevel, "host lost its own link to a replica, which another host reaches")
 	LinkRegained         = define(1749, logrus.InfoLevel, "host reaches a replica over its own link again")
+	LinkCheckFailed      = define(1757, logrus.InfoLevel, "host could not open a connection to check its link to a replica")
+	AnswerGivenUp        = define(1758, logrus.WarnLevel, "answer was given up because the host's link to the replica is lost")
 	HostStranded         = define(1750, logrus.WarnLevel, "links of the host to all replicas were lost or regained")
 	ReplicaEjected       = define(1743, logrus.WarnLevel, "replica was temporarily ejected from load balancing")
 )
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -52,7 +52,7 @@
 	net.Conn
 	head   *headLimiter
 	reader *bufio.Reader
-	// lastRead is the time since processStart at which bytes last arrived or the last request began.
+	// lastRead is the time since processStart at which bytes last arrived or the connection was opened.
 	lastRead atomic.Int64
 	// idleSince is the time at which the last answer ended.
 	idleSince time.Time
@@ -68,6 +68,7 @@
 		c.lastRead.Store(now)
 		anyRead.Store(now)
 	}}
+	c.lastRead.Store(int64(time.Since(processStart)))
 	c.reader = bufio.NewReaderSize(c.head, readBufferSize)
 	return c
 }
--- a/internal/forward/flight.go
+++ b/internal/forward/flight.go
@@ -1,16 +1,25 @@
 package forward
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // processStart is the origin of the times that connections record.
 var processStart = time.Now()
 
+// maxReadAge is the age from which on it is forgotten when bytes of an address last arrived.
+const maxReadAge = time.Minute
+
 // Flight is a request whose answer is not complete.
 type Flight struct {
-	Addr string
+	// Request is the ID of the request, Addr the replica's address.
+	Request, Addr string
 	// QuietSince is when bytes last arrived on the connection, at the earliest the start of the
 	// request.
 	QuietSince time.Time
+
+	start time.Time
 }
 
 // Flights returns the requests in flight and the time at which bytes of any replica last arrived.
@@ -18,26 +27,30 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	flights = make([]Flight, 0, len(p.flights))
-	for c, addr := range p.flights {
-		flights = append(flights, Flight{Addr: addr, QuietSince: c.quietSince()})
+	for c, f := range p.flights {
+		flights = append(flights, f.observed(c))
 	}
 	return flights, processStart.Add(time.Duration(p.lastRead.Load()))
 }
 
 // CloseQuiet closes the connections to lost addresses on which a request has been in flight without
-// any byte since before the given time.
-func (p *Pool) CloseQuiet(before time.Time, isLost func(addr string) bool) {
+// any byte since before the given time, and returns these requests. isLost is called with the time
+// at which bytes last arrived over any connection to the address.
+func (p *Pool) CloseQuiet(before time.Time, isLost func(addr string, lastRead time.Time) bool) []Flight {
 	p.mu.Lock()
-	var quiet []*conn
-	for c, addr := range p.flights {
-		if c.quietSince().Before(before) && isLost(addr) {
-			quiet = append(quiet, c)
-		}
+	defer p.mu.Unlock()
+	for c := range p.flights {
+		p.keepReadLocked(c)
 	}
-	p.mu.Unlock()
-	for _, c := range quiet {
-		c.Close()
+	var quiet []Flight
+	for c, f := range p.flights {
+		f = f.observed(c)
+		if f.QuietSince.Before(before) && isLost(f.Addr, p.lastReads[f.Addr]) {
+			quiet = append(quiet, f)
+			c.Close() // while no other request can begin on it
+		}
 	}
+	return quiet
 }
 
 // CloseIdle closes the idle connections to an address.
@@ -57,20 +70,41 @@
 }
 
 // begin records the start of a request on a connection.
-func (p *Pool) begin(t target, c *conn) {
-	c.lastRead.Store(int64(time.Since(processStart)))
+func (p *Pool) begin(r *Request, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.flights[c] = t.addr
+	p.flights[c] = Flight{Request: r.ID, Addr: r.Addr, start: time.Now()}
 }
 
 // end records that the answer was read or given up.
 func (p *Pool) end(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.keepReadLocked(c)
 	delete(p.flights, c)
 }
 
-// quietSince returns when bytes last arrived on the connection, at the earliest the start of the
-// request.
-func (c *conn) quietSince() time.Time { return processStart.Add(time.Duration(c.lastRead.Load())) }
+// keepReadLocked records when bytes last arrived on a connection with a request in flight.
+func (p *Pool) keepReadLocked(c *conn) {
+	f, inFlight := p.flights[c]
+	if read := c.readAt(); inFlight && read.After(p.lastReads[f.Addr]) {
+		p.lastReads[f.Addr] = read
+	}
+}
+
+// forgetReadsLocked forgets when bytes arrived from addresses that are not used any more.
+func (p *Pool) forgetReadsLocked(now time.Time) {
+	maps.DeleteFunc(p.lastReads, func(_ string, read time.Time) bool { return now.Sub(read) > maxReadAge })
+}
+
+// observed returns the request with the state of its connection.
+func (f Flight) observed(c *conn) Flight {
+	f.QuietSince = f.start
+	if read := c.readAt(); read.After(f.start) {
+		f.QuietSince = read
+	}
+	return f
+}
+
+// readAt returns when bytes last arrived on the connection, or when it was opened.
+func (c *conn) readAt() time.Time { return processStart.Add(time.Duration(c.lastRead.Load())) }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -31,8 +31,11 @@
 	dialer Dialer
 	mu     sync.Mutex
 	idle   map[target][]*conn
-	// flights holds the addresses of the connections with a request in flight.
-	flights map[*conn]string
+	// flights holds the requests in flight by their connections.
+	flights map[*conn]Flight
+	// lastReads holds the times at which bytes last arrived on connections with a request in flight,
+	// by address. It is up to date for those without one.
+	lastReads map[string]time.Time
 	// lastRead is the time since processStart at which bytes of any replica last arrived.
 	lastRead atomic.Int64
 }
@@ -50,7 +53,8 @@
 
 // NewPoolWith returns an empty pool that opens connections with dialer.
 func NewPoolWith(dialer Dialer) *Pool {
-	return &Pool{dialer: dialer, idle: make(map[target][]*conn), flights: make(map[*conn]string)}
+	return &Pool{dialer: dialer, idle: make(map[target][]*conn), flights: make(map[*conn]Flight),
+		lastReads: make(map[string]time.Time)}
 }
 
 // get returns a usable idle connection, or opens one.
@@ -68,15 +72,14 @@
 	return p.dial(ctx, t)
 }
 
-// Reachable reports whether a new connection to a replica can be opened. The connection is kept.
-func (p *Pool) Reachable(ctx context.Context, addr, instance string) bool {
+// Open opens a new connection to a replica, which is kept.
+func (p *Pool) Open(ctx context.Context, addr, instance string) error {
 	t := target{addr: addr, instance: instance}
 	c, err := p.dial(ctx, t)
-	if err != nil {
-		return false
+	if err == nil {
+		p.put(t, c)
 	}
-	p.put(t, c)
-	return true
+	return err
 }
 
 func (p *Pool) dial(ctx context.Context, t target) (*conn, error) {
@@ -156,6 +159,7 @@
 			p.idle[t] = kept
 		}
 	}
+	p.forgetReadsLocked(time.Now())
 	p.mu.Unlock()
 	for _, c := range expired {
 		c.Close()
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -17,6 +17,8 @@
 	Body [][]byte
 	// HasBody is set if a Content-Length is sent, even for an empty body.
 	HasBody bool
+	// ID names the request in logs.
+	ID string
 	// Addr and Instance identify the replica.
 	Addr     string
 	Instance string
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, oops.With("cause", err.Error()).Wrap(ErrUnreachable)
 	}
-	p.begin(t, c)
+	p.begin(r, c)
 	stopWatch := closeOnDone(ctx, c)
 	written := make(chan error, 1)
 	if r.bodySize() <= maxSyncBody {
--- a/internal/gateway/cuttable_links_test.go
+++ b/internal/gateway/cuttable_links_test.go
@@ -25,7 +25,16 @@
 )
 
 // cuttableLinks opens connections that can be cut. It implements forward.Dialer.
-type cuttableLinks struct{ state atomic.Int32 }
+type cuttableLinks struct {
+	state atomic.Int32
+	// droppedDials is the number of next connections whose opening packet is lost.
+	droppedDials atomic.Int32
+	// dials is the number of connections that were begun.
+	dials atomic.Int32
+}
+
+// dropDials loses the opening packets of the next n connections.
+func (l *cuttableLinks) dropDials(n int32) { l.droppedDials.Store(n) }
 
 func (l *cuttableLinks) set(c cut) { l.state.Store(int32(c)) }
 
@@ -33,10 +42,11 @@
 
 // DialContext implements forward.Dialer.
 func (l *cuttableLinks) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	l.dials.Add(1)
 	switch {
 	case l.is(refusingCut):
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
-	case l.is(silentCut):
+	case l.is(silentCut), l.droppedDials.Add(-1) >= 0:
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- /dev/null
+++ b/internal/relay/evidence.go
@@ -0,0 +1,39 @@
+package relay
+
+import "time"
+
+// minLossRounds is the number of rounds from which on open connections count as lost, too. One
+// round may be a lost packet, a full listen queue or a replica that resumes between both attempts.
+const minLossRounds = 3
+
+// evidence is what shows that the network path to replicas is lost, and not only new connections
+// fail. In each round a replica does not respond to a new connection of this host, and then to one
+// of another host. The zero value has no rounds.
+type evidence struct {
+	rounds int
+	// since is the start of the first round, until the end of the last one.
+	since, until time.Time
+}
+
+// add adds a round, from this host's attempt to the response to the other host. Rounds that
+// overlap have one cause and count once.
+func (e *evidence) add(from, until time.Time) {
+	if e.rounds > 0 && from.Before(e.until) {
+		return
+	}
+	if e.rounds == 0 {
+		e.since = from
+	}
+	e.rounds++
+	e.until = until
+}
+
+// heard discards the evidence if bytes arrived after its start.
+func (e *evidence) heard(at time.Time) {
+	if at.After(e.since) {
+		*e = evidence{}
+	}
+}
+
+// isStrong reports whether answers can be given up for it.
+func (e *evidence) isStrong() bool { return e.rounds >= minLossRounds }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -25,6 +25,10 @@
 	usedAt, probedAt time.Time
 	// check is the check in progress; nil if there is none.
 	check *check
+	// unansweredAt is when the last check began if nothing responded, and zero otherwise.
+	unansweredAt time.Time
+	// loss shows that open connections are lost, too.
+	loss evidence
 }
 
 // isAvoided reports whether the link must not be used: it is lost, or a connection has just failed.
@@ -32,12 +36,6 @@
 	return l.confirmed || (l.lost && now.Sub(l.lostAt) < unconfirmedLoss)
 }
 
-// check is an attempt to open a connection over a link. Its result is valid once done is closed.
-type check struct {
-	done chan struct{}
-	ok   bool
-}
-
 // condition is how a link may be used.
 type condition uint8
 
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -33,6 +33,8 @@
 	suspectedAt time.Time
 	// stranded is set while this host seems to have lost its links to all replicas.
 	stranded bool
+	// loss shows that no path to any replica works.
+	loss evidence
 }
 
 func newLinks(events *event.Logger) *links {
@@ -55,6 +57,42 @@
 	return l.stranded || (r != nil && r.confirmed)
 }
 
+// isSevered reports whether open connections to an address are lost, too. LastRead and anyRead are
+// when bytes last arrived from there and from any replica.
+func (l *links) isSevered(addr string, lastRead, anyRead time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.byAddr[addr]
+	if r == nil || r.unansweredAt.IsZero() {
+		return false
+	}
+	r.loss.heard(lastRead)
+	l.loss.heard(anyRead)
+	return (r.confirmed && r.loss.isStrong()) ||
+		(l.stranded && l.loss.isStrong() && !r.unansweredAt.Before(l.loss.since))
+}
+
+// reachedElsewhere records that a replica responded to a new connection of another host, which was
+// asked after this host's last check.
+func (l *links) reachedElsewhere(addr string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.byAddr[addr]; r != nil && !r.unansweredAt.IsZero() {
+		r.loss.add(r.unansweredAt, now)
+		l.loss.add(r.unansweredAt, now)
+	}
+}
+
+// discardEvidence discards what was observed before a pause of this host.
+func (l *links) discardEvidence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loss = evidence{}
+	for _, r := range l.byAddr {
+		r.loss, r.unansweredAt = evidence{}, time.Time{}
+	}
+}
+
 func (l *links) linkLocked(addr string) *link {
 	r := l.byAddr[addr]
 	if r == nil {
@@ -86,6 +124,7 @@
 	defer l.mu.Unlock()
 	r := l.linkLocked(addr)
 	r.heardAt = now
+	l.respondedLocked(r)
 	if !r.lost && l.suspectedAt.IsZero() {
 		return
 	}
@@ -96,6 +135,11 @@
 	l.updateLocked()
 }
 
+// respondedLocked records that the path to a replica works.
+func (l *links) respondedLocked(r *link) {
+	r.loss, l.loss, r.unansweredAt = evidence{}, evidence{}, time.Time{}
+}
+
 // failed records that no connection to a replica could be opened.
 func (l *links) failed(addr string, now time.Time) {
 	l.mu.Lock()
@@ -168,29 +212,41 @@
 
 // beginCheck returns the check in progress of a link, or begins one; isNew is set then, and the
 // caller must end it.
-func (l *links) beginCheck(addr string) (c *check, isNew bool) {
+func (l *links) beginCheck(addr string, now time.Time) (c *check, isNew bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.linkLocked(addr)
 	if r.check != nil {
 		return r.check, false
 	}
-	r.check = &check{done: make(chan struct{})}
+	r.check = &check{done: make(chan struct{}), started: now}
 	return r.check, true
 }
 
 // endCheck ends a check with its result.
-func (l *links) endCheck(addr string, c *check, ok bool, now time.Time) {
-	if ok {
+func (l *links) endCheck(addr string, c *check, result checkResult, now time.Time) {
+	if result == opened {
 		l.heard(addr, now)
 	} else {
+		result.count()
 		l.failed(addr, now)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.ok = ok
+	r := l.linkLocked(addr)
+	switch result {
+	case refused:
+		l.respondedLocked(r)
+	case unanswered:
+		r.unansweredAt = c.started
+	}
+	if result != opened && !r.confirmed {
+		l.events.Log(event.LinkCheckFailed, event.Fields{"replica": r.record.ID, "addr": addr, "cause": result.String(),
+			"ms": now.Sub(c.started).Milliseconds()})
+	}
+	c.result = result
 	close(c.done)
-	l.linkLocked(addr).check = nil
+	r.check = nil
 }
 
 // recordOf returns the record of the replica that last used an address.
@@ -228,6 +284,30 @@
 			due = append(due, r)
 		}
 	}
+	return probed(due, limit, now)
+}
+
+// dueRounds returns the replicas at the given addresses whose links are lost and are to be checked
+// next: at once if the last check was a round of evidence.
+func (l *links) dueRounds(owing map[string]bool, now time.Time) []replica.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var due []*link
+	for addr := range owing {
+		r := l.byAddr[addr]
+		if r == nil || r.check != nil || (!r.confirmed && !l.stranded) {
+			continue
+		}
+		isRound := !r.unansweredAt.IsZero() && r.loss.until.After(r.unansweredAt)
+		if isRound || now.Sub(r.probedAt) >= probeInterval {
+			due = append(due, r)
+		}
+	}
+	return probed(due, maxProbes, now)
+}
+
+// probed returns the replicas of up to limit links, those first that were probed least recently.
+func probed(due []*link, limit int, now time.Time) []replica.Record {
 	slices.SortFunc(due, func(a, b *link) int { return a.probedAt.Compare(b.probedAt) })
 	records := make([]replica.Record, 0, limit)
 	for _, r := range due[:min(limit, len(due))] {
--- a/internal/relay/sender.go
+++ b/internal/relay/sender.go
@@ -11,10 +11,6 @@
 	"cowslipgw/internal/replica"
 )
 
-// checkTimeout limits opening a connection to find out whether a link is lost. The network delay
-// to a replica is one to three milliseconds.
-const checkTimeout = 100 * time.Millisecond
-
 // Matches reports whether an answer belongs to a request; see forward.Pool.Send.
 type Matches = func(status int, h http.Header) bool
 
@@ -61,7 +57,7 @@
 		return nil, forward.ErrUnreachable
 	}
 	request := r.Request
-	request.Addr, request.Instance = addr, r.Replica.ID
+	request.ID, request.Addr, request.Instance = r.ID, addr, r.Replica.ID
 	answer, err := s.pool.Send(ctx, &request, matches)
 	switch {
 	case err == nil || errors.Is(err, forward.ErrInvalidAnswer):
@@ -127,22 +123,27 @@
 	}
 }
 
-// check opens a connection over a link, which is kept, unless a check is in progress already. It
-// reports whether that worked.
+// check opens a connection over a link and reports whether that worked.
 func (s *Sender) check(ctx context.Context, r replica.Record) bool {
-	c, isNew := s.links.beginCheck(r.Addr)
+	return s.checkResult(ctx, r) == opened
+}
+
+// checkResult opens a connection over a link, which is kept, unless a check is in progress already.
+func (s *Sender) checkResult(ctx context.Context, r replica.Record) checkResult {
+	c, isNew := s.links.beginCheck(r.Addr, time.Now())
 	if isNew {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 			defer cancel()
-			ok := s.pool.Reachable(ctx, r.Addr, r.ID)
-			s.links.endCheck(r.Addr, c, ok, time.Now())
+			err := s.pool.Open(ctx, r.Addr, r.ID)
+			now := time.Now()
+			s.links.endCheck(r.Addr, c, resultOf(err, now.Sub(c.started)), now)
 		}()
 	}
 	select {
 	case <-c.done:
-		return c.ok
+		return c.result
 	case <-ctx.Done():
-		return false
+		return inconclusive
 	}
 }
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -94,6 +94,7 @@
 		switch outcome {
 		case Reachable:
 			s.confirmLost(r)
+			s.links.reachedElsewhere(r.Addr, time.Now())
 			return true
 		case Unreachable:
 			isDown = true
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
+	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/guard"
 	"cowslipgw/internal/replica"
@@ -25,7 +28,7 @@
 	quietCheckInterval = 500 * time.Millisecond
 	// maxQuietChecks is the number of links that are checked then.
 	maxQuietChecks = 2
-	// quietAnswerLimit is how long an answer over a lost link may be quiet before it is given up.
+	// quietAnswerLimit is how long an answer over a severed link may be quiet before it is given up.
 	quietAnswerLimit = 400 * time.Millisecond
 	// findLossTimeout limits the check of a quiet link, by this host and by others.
 	findLossTimeout = 600 * time.Millisecond
@@ -35,6 +38,8 @@
 	maxProbes     = 4
 )
 
+var answersGivenUp = metrics.NewCounter("cowslipgw_upstream_answers_given_up_total")
+
 // watch is the state of the task that observes the requests in flight. Only that task uses it.
 type watch struct {
 	lastTick time.Time
@@ -62,6 +67,7 @@
 	w := &s.watch
 	if now.Sub(w.lastTick) > maxWatchGap {
 		w.judgeFrom = now
+		s.links.discardEvidence()
 	}
 	w.lastTick = now
 	flights, lastRead := s.pool.Flights()
@@ -72,14 +78,28 @@
 			go guard.Run(s.events, "link check", func() { s.findLoss(ctx, s.links.recordOf(f.Addr)) })
 		}
 	}
-	// Answers over lost links that are not arriving are given up.
-	s.pool.CloseQuiet(now.Add(-quietAnswerLimit), s.links.isLost)
+	s.giveUp(now, lastRead)
+	s.checkOwing(ctx, flights, now)
 	if now.After(w.nextProbe) {
 		w.nextProbe = now.Add(probeInterval)
 		s.probe(now)
 	}
 }
 
+// giveUp gives up answers over severed links that are not arriving. What arrived during a pause of
+// this host may not have been read yet.
+func (s *Sender) giveUp(now, lastRead time.Time) {
+	if now.Sub(s.watch.judgeFrom) < quietAnswerLimit {
+		return
+	}
+	isLost := func(addr string, read time.Time) bool { return s.links.isSevered(addr, read, lastRead) }
+	for _, f := range s.pool.CloseQuiet(now.Add(-quietAnswerLimit), isLost) {
+		answersGivenUp.Inc()
+		s.events.Log(event.AnswerGivenUp, event.Fields{"request": f.Request, "replica": s.links.recordOf(f.Addr).ID, "addr": f.Addr,
+			"quiet_ms": now.Sub(f.QuietSince).Milliseconds()})
+	}
+}
+
 // quietTargets returns a request in flight at each replica that owes an answer, the oldest first,
 // if all of them have been quiet for too long.
 func quietTargets(flights []forward.Flight, lastRead, judgeFrom, now time.Time) []forward.Flight {
@@ -105,12 +125,28 @@
 	return targets
 }
 
-// findLoss checks a link and, if it does not work, whether another host reaches the replica.
+// findLoss checks a link and, if it does not work, whether another host reaches the replica. For
+// open connections over a link that is known to be lost, a refusal says that the path works.
 func (s *Sender) findLoss(ctx context.Context, r replica.Record) {
 	ctx, cancel := context.WithTimeout(ctx, findLossTimeout)
 	defer cancel()
-	if !s.check(ctx, r) {
-		s.reachableThrough(ctx, r)
+	result := s.checkResult(ctx, r)
+	if result == opened || (result == refused && s.LinkLost(r)) {
+		return
+	}
+	s.reachableThrough(ctx, r)
+}
+
+// checkOwing checks lost links over which answers are not arriving.
+func (s *Sender) checkOwing(ctx context.Context, flights []forward.Flight, now time.Time) {
+	owing := make(map[string]bool)
+	for _, f := range flights {
+		if now.Sub(f.QuietSince) >= quietLimit {
+			owing[f.Addr] = true
+		}
+	}
+	for _, r := range s.links.dueRounds(owing, now) {
+		go guard.Run(s.events, "link check", func() { s.findLoss(ctx, r) })
 	}
 }
 
