--- a/cmd/cowslipgw/soak.go
+++ b/cmd/cowslipgw/soak.go
@@ -28,6 +28,8 @@
 	hosts := flags.Int("nodes", soakHosts, "`number` of host processes")
 	format := flags.String("format", "table", "report `format`: table or json")
 	earlier := flags.String("earlier", "", "`program` of an earlier build, which is replaced host by host during the run")
+	calm := flags.Bool("calm", false, "planned work and silent replicas only, no faults")
+	program := flags.String("program", "", "`program` of the build to test; if empty, this one")
 	logDir := flags.String("logs", "", "`directory` for settings and logs; if empty, a temporary one that is removed afterwards")
 	if err := flags.Parse(args); err != nil {
 		return exitUsage
@@ -37,17 +39,20 @@
 		earlierCommand = []string{*earlier, "gateway"}
 	}
 	if flags.NArg() > 0 || *runs < 1 || *hosts < 1 || (*format != "table" && *format != "json") {
-		fmt.Fprintln(stderr, "usage: cowslipgw soak [-seed N] [-runs N] [-nodes N] [-earlier PROGRAM] [-format table|json] [-logs DIR]")
+		fmt.Fprintln(stderr, "usage: cowslipgw soak [-seed N] [-runs N] [-nodes N] [-calm] [-program PROGRAM] [-earlier PROGRAM] [-format table|json] [-logs DIR]")
 		return exitUsage
 	}
-	program, err := os.Executable()
-	if err != nil {
-		fmt.Fprintf(stderr, "cowslipgw soak: %v\n", err)
-		return exitFailure
+	if *program == "" {
+		own, err := os.Executable()
+		if err != nil {
+			fmt.Fprintf(stderr, "cowslipgw soak: %v\n", err)
+			return exitFailure
+		}
+		*program = own
 	}
 	status := exitOK
 	for n := range *runs {
-		report, err := runSoakSeed(ctx, soak.Options{Seed: *seed + uint64(n), Hosts: *hosts, Command: []string{program, "gateway"}, Earlier: earlierCommand}, *logDir)
+		report, err := runSoakSeed(ctx, soak.Options{Seed: *seed + uint64(n), Hosts: *hosts, Command: []string{*program, "gateway"}, Earlier: earlierCommand, Calm: *calm}, *logDir)
 		if err != nil {
 			fmt.Fprintf(stderr, "cowslipgw soak: %v\n", err)
 			return exitFailure
