gateway: an unused connection of a caller lasts as long as an idle one

Cause: net/http starts the time limit of the first head as it accepts the connection, and that of later heads at their first byte. callerConn applies the idle timeout until the first byte. Failed before: TestUnusedConnectionIsKept, "write: broken pipe". TestSlowHeadIsCut passes before and after: a head that was begun still has its limit.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -191,7 +191,7 @@
 			return oops.Wrapf(err, "listen on %s", l.addr)
 		}
 		if l.server == frontend {
-			listener = p.gateway.CallerListener(listener)
+			listener = p.gateway.CallerListener(listener, clientIdleTimeout)
 		}
 		group.Go(func() error {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -24,7 +24,13 @@
 // why the caller counts as disconnected, and that the end of an answer could not be written.
 type callerConn struct {
 	*net.TCPConn
-	events *event.Logger
+	// idleTimeout limits the time until the first byte.
+	idleTimeout time.Duration
+	events      *event.Logger
+	// used is set once a byte was received. The time limit of the first head, which net/http sets
+	// as it accepts the connection, starts then.
+	used        atomic.Bool
+	headTimeout atomic.Int64
 	// request is the ID of the request that was last received.
 	request atomic.Pointer[string]
 	// readErr and writeErr are the last errors since a read or write succeeded; nil if none.
@@ -55,10 +61,24 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.used.Swap(true) {
+		if timeout := c.headTimeout.Load(); timeout != 0 {
+			_ = c.TCPConn.SetReadDeadline(time.Now().Add(time.Duration(timeout)))
+		}
+	}
 	record(&c.readErr, err)
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. Before the first byte, the idle timeout applies instead.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if left := time.Until(t); !c.used.Load() && left > 0 {
+		c.headTimeout.Store(int64(left))
+		t = time.Now().Add(c.idleTimeout)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // Write implements net.Conn. It logs the first error of an answer.
 func (c *callerConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
--- a/internal/gateway/caller_listener.go
+++ b/internal/gateway/caller_listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"cowslipgw/internal/event"
 )
@@ -9,20 +10,22 @@
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
-	events *event.Logger
+	idleTimeout time.Duration
+	events      *event.Logger
 }
 
 // CallerListener returns a listener for the connections of callers. With ConnContext, the log says
-// why a caller counts as disconnected and which answers could not be written.
-func (g *Gateway) CallerListener(l net.Listener) net.Listener {
-	return &callerListener{Listener: l, events: g.events}
+// why a caller counts as disconnected and which answers could not be written. A connection may be
+// unused for up to idleTimeout before its first request.
+func (g *Gateway) CallerListener(l net.Listener, idleTimeout time.Duration) net.Listener {
+	return &callerListener{Listener: l, idleTimeout: idleTimeout, events: g.events}
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp, events: l.events}, err
+		return &callerConn{TCPConn: tcp, idleTimeout: l.idleTimeout, events: l.events}, err
 	}
 	return c, err
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -202,7 +202,7 @@
 	t.Cleanup(relays.Close)
 	fleet.addRelay(strings.TrimPrefix(relays.URL, "http://"), sender.Stranded)
 	gw.entry = httptest.NewUnstartedServer(g)
-	gw.entry.Listener, gw.entry.Config.ConnContext = g.CallerListener(gw.entry.Listener), gateway.ConnContext
+	gw.entry.Listener, gw.entry.Config.ConnContext = g.CallerListener(gw.entry.Listener, time.Minute), gateway.ConnContext
 	gw.entry.Start()
 	t.Cleanup(gw.entry.Close)
 	for config.Table() == nil {
