--- a/cmd/cowslipgw/host_pool_test.go
+++ b/cmd/cowslipgw/host_pool_test.go
@@ -32,7 +32,7 @@
 	listener, err := net.Listen("tcp", accepting.table.Self().Relay)
 	is.NoErr(err)
 	defer listener.Close()
-	is.True(asking.hostPool.Reachable(t.Context(), listener.Addr().String(), ""))
+	is.NoErr(asking.hostPool.Open(t.Context(), listener.Addr().String(), ""))
 	conn, err := listener.Accept()
 	is.NoErr(err)
 	defer conn.Close()
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -36,6 +36,7 @@
 	}
 	x.call = call
 	callerConnOf(r.Context()).setRequest(call.ID)
+	x.operation.identify(call.ID)
 	table := x.g.config.Table()
 	if table == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet",
@@ -47,6 +48,11 @@
 	}
 	x.deadline = x.start.Add(x.timeout())
 	x.limitWrites(x.deadline)
+	if x.g.outlasts(x.deadline) {
+		f := refuseStopping()
+		f.bodyUnread = true
+		return f
+	}
 	if hasBody(r) {
 		x.limitReads(x.deadline)
 		if f := x.readBody(r); f != nil {
@@ -63,6 +69,9 @@
 	if f := x.refuseQuarantined(); f != nil {
 		return f
 	}
+	if x.g.outlasts(x.deadline) {
+		return refuseStopping()
+	}
 	return x.admitRate(r.Context())
 }
 
@@ -124,7 +133,7 @@
 func (x *exchange) discardBody(r *http.Request) {
 	deadline := x.deadline
 	switch soon := time.Now().Add(lingerTimeout); {
-	case x.g.draining.Load(), !deadline.IsZero() && deadline.Before(soon):
+	case x.g.Draining(), !deadline.IsZero() && deadline.Before(soon):
 		deadline = soon
 	case deadline.IsZero():
 		deadline = time.Now().Add(discardTimeout)
