gateway: a read keeps its replica if no other one can take it

Callers of idempotent routes got 502 "no first byte in time" while all replicas were silent for a second, although each would have answered long before the request's deadline.

Cause: an attempt without a first byte after 0.25 s (or twice the objective) was given up without looking for a replica that could take over, also the last attempt that the route allows and the only replica of a service.

Evidence: TestQuietReplicasAnswerReads, 1.3 s of silence, failed before with 1, 2, 3 and 5 replicas: "502 != 200".

Now an attempt is given up only once another replica has been acquired for the next one; without one it is asked for again after each interval. The last attempt keeps its replica until the deadline. Unresponsive replicas are left as fast as before (TestUnresponsiveReplica).

Ruled out: a second answer delivered beside the first; the attempt before is closed, and its answer is never read.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -17,9 +17,6 @@
 	// maxExtraRefusals is the number of replicas beyond the route's attempts that may
 	// refuse a request; a refusal does not count as an attempt.
 	maxExtraRefusals = 3
-	// minFirstByteTimeout is the minimum time that an idempotent request waits for the
-	// first byte before another replica is tried.
-	minFirstByteTimeout = 250 * time.Millisecond
 	// maxCrashes is the number of replicas that may have ended under a request, at any host, up
 	// to which the host tries another one by itself.
 	maxCrashes = 1
@@ -49,8 +46,8 @@
 // errRefused is returned if the replica reported that it did not execute the request.
 var errRefused = errors.New("replica refused the request")
 
-// errFirstByteTimeout is returned if the replica sent no first byte within the attempt's
-// timeout.
+// errFirstByteTimeout is returned if the replica sent no first byte in time and another one takes
+// over.
 var errFirstByteTimeout = errors.New("no first byte in time")
 
 // dispatch sends the request to replicas until one returns anything but a refusal. It
@@ -62,6 +59,7 @@
 	q.Exclude = x.tried
 	last := errNoReplica
 	refusals := 0
+	defer x.releaseNext()
 	for x.attempts < max(x.route.MaxAttempts, 1) && refusals <= maxExtraRefusals && x.mayTryAnother() {
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
@@ -69,7 +67,7 @@
 		if time.Until(x.deadline) < minAttemptTime {
 			return nil, context.DeadlineExceeded
 		}
-		lease, err := x.acquire(ctx, q)
+		lease, err := x.takeNext(ctx, q)
 		if err != nil {
 			if errors.Is(err, errNoReplica) {
 				err = last
@@ -78,7 +76,7 @@
 		}
 		x.replica = lease.Record().ID
 		x.tried[x.replica] = true
-		a, err := x.try(ctx, lease, body)
+		a, err := x.try(ctx, lease, body, q)
 		if err == nil {
 			x.attempts++
 			x.mayHaveRun = true
@@ -101,13 +99,11 @@
 	return nil, last
 }
 
-// try sends the request to the leased replica. On an error it ends the lease.
-func (x *exchange) try(ctx context.Context, lease *replica.Lease, body [][]byte) (*attempt, error) {
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	if x.route.Kind == route.Safe {
-		timer := time.AfterFunc(max(minFirstByteTimeout, 2*x.route.LatencyTarget), func() { cancel(errFirstByteTimeout) })
-		defer timer.Stop()
-	}
+// try sends the request to the leased replica. On an error it ends the lease. q finds the
+// replica that takes over if there is no first byte in time.
+func (x *exchange) try(ctx context.Context, lease *replica.Lease, body [][]byte, q replica.Query) (*attempt, error) {
+	attemptCtx, cancel := context.WithCancel(ctx)
+	failover := x.startFailover(attemptCtx, q, cancel)
 	record := lease.Record()
 	header := x.call.Header.Clone()
 	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after})
@@ -116,14 +112,17 @@
 			Body: body, HasBody: x.call.HasBody}}
 	answer, through, err := x.g.sender.Send(attemptCtx, request, x.g.answersTo(x.call.ID))
 	x.through = through
+	if x.next = failover.end(); x.next != nil && err == nil {
+		answer.Close()
+		err = errFirstByteTimeout
+	}
 	if err != nil {
-		slow := errors.Is(context.Cause(attemptCtx), errFirstByteTimeout)
-		cancel(nil)
+		cancel()
 		switch {
 		case ctx.Err() != nil:
 			lease.Done(replica.Abandoned, 1)
 			return nil, ctx.Err()
-		case slow:
+		case x.next != nil:
 			lease.Done(replica.Abandoned, 1)
 			return nil, errFirstByteTimeout
 		case errors.Is(err, forward.ErrUnreachable):
@@ -147,7 +146,7 @@
 		lease.RateLimit(*info.RateLimit)
 	}
 	x.g.learnLeaving(record, info, answer.Status)
-	a := &attempt{lease: lease, answer: answer, info: info, cancel: func() { cancel(nil) }}
+	a := &attempt{lease: lease, answer: answer, info: info, cancel: cancel}
 	if info.isRefusal(answer.Status) {
 		info.limitReuse(answer)
 		drain(answer)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -43,6 +43,9 @@
 	attempts   int
 	mayHaveRun bool
 	tried      map[string]bool
+	// next is the lease of a replica that takes over from one without a first byte; nil if there is
+	// none.
+	next *replica.Lease
 	// brokenAt holds the replicas whose connection broke before the end of the answer.
 	brokenAt []replica.Record
 	// resumptions counts the attempts that continue an earlier one.
--- a/internal/gateway/quiet_fleet_test.go
+++ b/internal/gateway/quiet_fleet_test.go
@@ -192,3 +192,30 @@
 	wait.Wait()
 	is.Equal(received.Load(), int64(requests))
 }
+
+// TestQuietReplicasAnswerReads guards against idempotent requests that fail because all replicas
+// are silent for a while: the last replica that may be tried must have the time to answer.
+func TestQuietReplicasAnswerReads(t *testing.T) {
+	for _, replicas := range []int{1, 2, 3, 5} {
+		t.Run(strconv.Itoa(replicas), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			resumed := make(chan struct{})
+			var runs atomic.Int64
+			answer := echoing(&runs)
+			upstreams := make([]http.HandlerFunc, replicas)
+			for n := range upstreams {
+				upstreams[n] = func(w http.ResponseWriter, r *http.Request) {
+					<-resumed
+					answer(w, r)
+				}
+			}
+			gw := newTestGateway(t, 0, upstreams...)
+			time.AfterFunc(quietTime, func() { close(resumed) })
+			got := gw.call(t, http.MethodPost, "/safe/x", "in", "Id", "a", "Key", "k")
+			is.Equal(got.status, http.StatusOK)
+			is.Equal(got.body, "acme in")
+			is.True(runs.Load() <= 3) // the route's attempts
+		})
+	}
+}
