peers, turns: a stopping host answers the calls of other hosts before it exits

Calls of other hosts (turns, quota, pacing) and requests that they had this host pass on were cut by the exit: the drain waited for requests and the owner's appends, not for the replies, and a call that came last was taken although its owner would be gone before it had been stored.

Fix: the RPC server and the server for relayed requests end gracefully: no further calls are read, those in progress are answered, and a closed connection sends later callers to the next host at once.

The calls of peers.Serve in two tests are those of its successor, Server.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -99,6 +99,8 @@
 	hostPool   *forward.Pool
 	sender     *relay.Sender
 	gateway    *gateway.Gateway
+	peerServer *peers.Server
+	turns      *turns.Service
 }
 
 // endpoint is an HTTP server and its listen address.
@@ -171,13 +173,14 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	frontend := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}
+	relays := &http.Server{Handler: p.gateway.RelayHandler(p.table.IsHost), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}
 	group, runCtx := errgroup.WithContext(ctx)
 	listeners := []endpoint{
 		{frontend, p.settings.Frontend},
 		{&http.Server{Handler: platform.NewReadiness(p.ready), ReadHeaderTimeout: headerTimeout}, p.settings.Readiness},
 		{&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
 			net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+metricsPort))},
-		{&http.Server{Handler: p.gateway.RelayHandler(p.table.IsHost), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}, p.table.Self().Relay},
+		{relays, p.table.Self().Relay},
 	}
 	if p.settings.Directory != "" {
 		directory := platform.NewDirectory(p.entryAddresses, min(resolveTTL, p.settings.ResolveTTL))
@@ -202,7 +205,7 @@
 	p.events.Log(event.HostStarted, event.Fields{"host": p.settings.Host, "zone": p.settings.Domain, "first_start": p.settings.FirstStart})
 	<-runCtx.Done()
 	if ctx.Err() != nil {
-		p.drain(frontend)
+		p.drain(frontend, relays)
 	}
 	for _, l := range listeners {
 		// Connections that are still open are closed when the process exits.
@@ -274,7 +277,8 @@
 // servePeers starts the RPC server for other hosts.
 func (p *gatewayProcess) servePeers() error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(turns.ServiceName, turns.NewService(p.owner, p.client.Owns, p.events)); err != nil {
+	p.turns = turns.NewService(p.owner, p.client.Owns, p.events)
+	if err := server.RegisterName(turns.ServiceName, p.turns); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
 	if err := server.RegisterName(quota.ServiceName, quota.NewService(p.limiter, p.events)); err != nil {
@@ -287,9 +291,10 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen for peer calls")
 	}
+	p.peerServer = peers.NewServer(server, p.events)
 	go func() {
-		// The listener is open until the process exits.
-		_ = peers.Serve(listener, server, p.events)
+		// The listener is open until the server shuts down.
+		_ = p.peerServer.Serve(listener)
 	}()
 	return nil
 }
@@ -297,11 +302,12 @@
 // drain shuts the host down without cutting a request: it leaves the fleet and waits
 // within the grace period until all active requests have ended and all changes of turns
 // are stored.
-func (p *gatewayProcess) drain(frontend *http.Server) {
+func (p *gatewayProcess) drain(frontend, relays *http.Server) {
 	start := time.Now()
 	p.events.Log(event.HostDraining, event.Fields{"host": p.settings.Host, "active": p.gateway.Active()})
 	end := start.Add(p.settings.Grace - exitMargin)
 	p.gateway.Drain(end)
+	p.turns.Drain(end)
 	p.table.SetLeaving()
 	p.beacon.Announce()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -312,9 +318,12 @@
 	}
 	// Streams that outlast the grace period are cut when the process exits.
 	_ = frontend.Shutdown(ctx)
-	for (p.gateway.Active() > 0 || !p.owner.Idle()) && ctx.Err() == nil {
-		time.Sleep(drainPollInterval)
-	}
+	p.waitIdle(ctx)
+	// Other hosts may need this one until its own callers have left. What they ask of it ends as well;
+	// an error means that the grace period has passed.
+	_ = relays.Shutdown(ctx)
+	_ = p.peerServer.Shutdown(ctx)
+	p.waitIdle(ctx)
 	removeCtx, cancelRemove := context.WithTimeout(context.Background(), removeTimeout)
 	defer cancelRemove()
 	if err := p.registry.Remove(removeCtx); err != nil {
@@ -322,6 +331,13 @@
 	}
 }
 
+// waitIdle waits until all requests have ended and all changes of turns are stored, or until ctx ends.
+func (p *gatewayProcess) waitIdle(ctx context.Context) {
+	for (p.gateway.Active() > 0 || !p.owner.Idle()) && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // handleReloads reloads the settings file on SIGHUP. An invalid file is ignored.
 func (p *gatewayProcess) handleReloads(ctx context.Context) {
 	sighup := make(chan os.Signal, 1)
--- a/cmd/cowslipgw/golden_test.go
+++ b/cmd/cowslipgw/golden_test.go
@@ -185,7 +185,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = peers.Serve(listener, server, event.Discard()) }()
+	go func() { _ = peers.NewServer(server, event.Discard()).Serve(listener) }()
 	call := func(method string, reply any) frameHeader {
 		c, err := net.Dial("tcp", listener.Addr().String())
 		is.NoErr(err)
--- a/internal/peers/caller_test.go
+++ b/internal/peers/caller_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() { _ = Serve(listener, server, event.Discard()) }()
+	go func() { _ = NewServer(server, event.Discard()).Serve(listener) }()
 	h := Host{ID: "1", Incarnation: 1, Addr: listener.Addr().String()}
 	table := NewTable(Host{ID: "0"}, func() bool { return true })
 	table.HandleHeartbeat(Heartbeat{Host: h, Condition: Condition{Serving: true}})
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"cowslipgw/internal/event"
@@ -27,6 +28,8 @@
 	owner  *Owner
 	owns   func(partition int) bool
 	events *event.Logger
+	// end is when the host stops; nil unless it drains.
+	end atomic.Pointer[time.Time]
 }
 
 // NewService returns the RPC service of an owner. Owns reports whether this host is the
@@ -35,9 +38,25 @@
 	return &Service{owner: owner, owns: owns, events: events}
 }
 
+// errStopping is returned for a call that was not done, since the host might stop before it has ended.
+var errStopping = errors.New("host is shutting down")
+
+// Drain refuses the calls that may take longer than until end, so that their callers go to the next
+// owner at once.
+func (s *Service) Drain(end time.Time) { s.end.Store(&end) }
+
+// outlasts reports whether a call that may take as long as limit does not end before the host stops.
+func (s *Service) outlasts(limit time.Duration) bool {
+	end := s.end.Load()
+	return end != nil && time.Until(*end) < limit
+}
+
 // call runs one call within limit. A panic in it ends only this call; net/rpc would let it end
 // the process.
 func (s *Service) call(method string, limit time.Duration, f func(ctx context.Context) error) error {
+	if s.outlasts(limit) {
+		return errStopping
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	return guard.Call(s.events, ServiceName+"."+method, func() error { return f(ctx) })
