gateway: SIGHUP ends no process that has not served yet, or that stops

What callers saw: a signal to reload the settings in the first moments of a process, or in its last ones, ended it.

Cause: the handler was registered after the listeners were open and removed with the background tasks. Outside of that, SIGHUP has its default effect.

Fix: the signal is notified of from the first line of the command to its end.

--- a/cmd/cowslipgw/gateway.go
+++ b/cmd/cowslipgw/gateway.go
@@ -5,6 +5,9 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -22,6 +25,9 @@
 }
 
 func runGateway(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	// Until it is notified of, the signal would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	flags := flag.NewFlagSet("gateway", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	config := flags.String("config", "", "the platform's settings `file`; if empty, the one named by the environment")
@@ -56,7 +62,7 @@
 		fmt.Fprintf(stderr, "cowslipgw gateway: %v\n", err)
 		return exitFailure
 	}
-	process.droppedLines = queue.Dropped
+	process.droppedLines, process.reload = queue.Dropped, reload
 	if err := process.run(ctx); err != nil {
 		fmt.Fprintf(stderr, "cowslipgw gateway: %v\n", err)
 		return exitFailure
--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -7,10 +7,8 @@
 	"net/http"
 	"net/rpc"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -82,6 +80,8 @@
 	events   *event.Logger
 	// droppedLines returns the number of dropped log lines.
 	droppedLines func() uint64
+	// reload receives the signals to reload the settings file.
+	reload <-chan os.Signal
 
 	table      *peers.Table
 	overload   peers.OverloadDetector
@@ -338,16 +338,13 @@
 	}
 }
 
-// handleReloads reloads the settings file on SIGHUP. An invalid file is ignored.
+// handleReloads reloads the settings file on each signal. An invalid file is ignored.
 func (p *gatewayProcess) handleReloads(ctx context.Context) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-sighup:
+		case <-p.reload:
 		}
 		loaded, err := platform.LoadSettings(p.path)
 		if err != nil {
--- a/cmd/cowslipgw/stop_test.go
+++ b/cmd/cowslipgw/stop_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -149,3 +151,63 @@
 	}
 	wait.Wait()
 }
+
+// TestSignalsDoNotCutStop guards against signals that end the process, before it handles them or while
+// it stops.
+func TestSignalsDoNotCutStop(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	s := startStoppingSite(t)
+	for _, r := range s.Plain {
+		r.SetWork(longWork)
+	}
+	conn, err := net.Dial("tcp", s.host.Frontend)
+	is.NoErr(err)
+	defer conn.Close()
+	got := make(chan ending, 1)
+	go func() { got <- s.send(conn, "long", 0) }()
+	time.Sleep(longWork / 10)
+	is.NoErr(s.process.Process.Signal(syscall.SIGTERM))
+	exited := make(chan error, 1)
+	go func() { exited <- s.process.Wait() }()
+	for {
+		select {
+		case err := <-exited:
+			is.NoErr(err)
+			is.Equal((<-got).status, http.StatusOK)
+			return
+		case <-time.After(100 * time.Microsecond):
+			// The process may have exited.
+			_ = s.process.Process.Signal(syscall.SIGHUP)
+			_ = s.process.Process.Signal(syscall.SIGTERM)
+		}
+	}
+}
+
+// TestReloadSignalAtStart guards against a signal to reload the settings that ends a process which has
+// not served yet.
+func TestReloadSignalAtStart(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	dir := t.TempDir()
+	host, err := platformtest.NewHost(dir, 0, "127.0.0.1:1")
+	is.NoErr(err)
+	settings, err := os.ReadFile(host.Settings)
+	is.NoErr(err)
+	pipe := filepath.Join(dir, "pipe")
+	is.NoErr(syscall.Mkfifo(pipe, 0o600))
+	p := startProcess(t, "gateway", "-check", "-config", pipe)
+	// It opens once the process reads its settings.
+	writer, err := os.OpenFile(pipe, os.O_WRONLY, 0)
+	is.NoErr(err)
+	is.NoErr(p.Process.Signal(syscall.SIGHUP))
+	time.Sleep(100 * time.Millisecond)
+	// The process may have ended.
+	_, _ = writer.Write(settings)
+	is.NoErr(writer.Close())
+	is.NoErr(p.Wait())
+}
