gateway: the last possible attempt waits until the deadline

What callers saw: an idempotent request failed with 502 ("no first byte in time") well before its time limit, after 250 ms for each replica, while all its replicas were silent for a second. The replicas' work was broken off each time.

Cause: the limit for the first byte, which is to try another replica, also applied when none was left or no attempt. Failed before: TestAllReplicasSilent with 1, 2, 3 and 4 replicas silent for 1.2 s, 16 of 16 requests with 502.

The limit now applies only if the route allows one more attempt and an untried replica may be chosen. TestUnresponsiveReplica (a replica that never answers beside a sound one) holds as before. The price: with every replica hung, the caller gets 504 at its time limit instead of 502 earlier.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -78,7 +78,7 @@
 		}
 		x.replica = lease.Record().ID
 		x.tried[x.replica] = true
-		a, err := x.try(ctx, lease, body)
+		a, err := x.try(ctx, lease, body, q)
 		if err == nil {
 			x.attempts++
 			x.mayHaveRun = true
@@ -101,10 +101,17 @@
 	return nil, last
 }
 
-// try sends the request to the leased replica. On an error it ends the lease.
-func (x *exchange) try(ctx context.Context, lease *replica.Lease, body [][]byte) (*attempt, error) {
+// mayRepeat reports whether the request may be sent to another replica after this attempt, and
+// there is one.
+func (x *exchange) mayRepeat(q replica.Query) bool {
+	return x.attempts+1 < x.route.MaxAttempts && x.g.replicas.Any(q)
+}
+
+// try sends the request to the leased replica. On an error it ends the lease. If the request is
+// idempotent and another replica could serve it, the attempt fails if the first byte is late.
+func (x *exchange) try(ctx context.Context, lease *replica.Lease, body [][]byte, q replica.Query) (*attempt, error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
-	if x.route.Kind == route.Safe {
+	if x.route.Kind == route.Safe && x.mayRepeat(q) {
 		timer := time.AfterFunc(max(minFirstByteTimeout, 2*x.route.LatencyTarget), func() { cancel(errFirstByteTimeout) })
 		defer timer.Stop()
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, errNotResumable
 	}
-	a, err := x.try(ctx, lease, body)
+	a, err := x.try(ctx, lease, body, q)
 	if errors.Is(err, forward.ErrUnreachable) && x.mayTryAnother() {
 		x.attempts = max(x.attempts-1, 0)
 		q.Only = ""
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -69,6 +70,14 @@
 	rankEjected
 )
 
+// Any reports whether Choose may find a replica, paused or not.
+func (s *Set) Any(q Query) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(s.services[q.Service], func(r *Replica) bool { return s.feasible(r, q, now) })
+}
+
 // Choose returns a lease on the replica with the lowest score among the feasible ones of the
 // lowest rank, or nil if none is feasible.
 func (s *Set) Choose(q Query) *Lease {
