--- a/cmd/cowslipgw/stop_test.go
+++ b/cmd/cowslipgw/stop_test.go
@@ -152,15 +152,12 @@
 	}
 	is := is.New(t)
 	s := startStoppingSite(t)
-	for _, r := range s.Plain {
-		r.SetWork(longWork)
-	}
 	conn, err := net.Dial("tcp", s.host.Frontend)
 	is.NoErr(err)
 	defer conn.Close()
 	got := make(chan ending, 1)
-	go func() { got <- s.send(conn, "long", 0) }()
-	time.Sleep(longWork / 10)
+	go func() { got <- s.send(conn, platformtest.LongPath, "long", 0) }()
+	time.Sleep(500 * time.Millisecond) // the request is at work
 	is.NoErr(s.process.Process.Signal(syscall.SIGTERM))
 	exited := make(chan error, 1)
 	go func() { exited <- s.process.Wait() }()
