relay: the loss of a path to open connections takes 1.5 s to show

Cause: three rounds of evidence fit into half a second, so a replica that pauses for a second and has room for some connections only looks like a lost path. The rounds must span 1.5 s now. Requests begun meanwhile go through other hosts as before; the price is that answers over a path that is really lost end up to a second later. Ruled out: keep-alive probes, whose shortest interval of a second leaves no time before most requests' deadlines.

--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -2,9 +2,14 @@
 
 import "time"
 
-// minLossRounds is the number of rounds from which on open connections count as lost, too. One
-// round may be a lost packet, a full listen queue or a replica that resumes between both attempts.
-const minLossRounds = 3
+const (
+	// minLossRounds is the number of rounds from which on open connections count as lost, too. One
+	// round may be a lost packet, a full listen queue or a replica that resumes between both attempts.
+	minLossRounds = 3
+	// minLossTime is the time that the rounds must span. A replica that is silent and short of room
+	// for connections may respond to some hosts only; it usually resumes after a second.
+	minLossTime = 1500 * time.Millisecond
+)
 
 // evidence is what shows that the network path to replicas is lost, and not only new connections
 // fail. In each round a replica does not respond to a new connection of this host, and then to one
@@ -36,4 +41,6 @@
 }
 
 // isStrong reports whether answers can be given up for it.
-func (e *evidence) isStrong() bool { return e.rounds >= minLossRounds }
+func (e *evidence) isStrong() bool {
+	return e.rounds >= minLossRounds && e.until.Sub(e.since) >= minLossTime
+}
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -14,6 +14,9 @@
 	"cowslipgw/internal/event"
 )
 
+// roundInterval is the time between rounds of which the fewest span enough time.
+const roundInterval = minLossTime / (minLossRounds - 1)
+
 // unansweredRound lets a check of a link fail and another host reach the replica then.
 func unansweredRound(l *links, addr string, at time.Time) {
 	c, _ := l.beginCheck(addr, at)
@@ -26,7 +29,7 @@
 // connections fail: a few of them, refused ones, beside bytes that arrive, or over another link.
 func TestOpenConnectionsOutlastFailedChecks(t *testing.T) {
 	start := time.Now()
-	round := func(n int) time.Time { return start.Add(time.Duration(n) * probeInterval) }
+	round := func(n int) time.Time { return start.Add(time.Duration(n) * roundInterval) }
 	var never time.Time
 	end := round(minLossRounds)
 	check := func(l *links, result checkResult) {
@@ -39,8 +42,13 @@
 		lastRead, anyRead time.Time
 		severed           bool
 	}{
-		"enough rounds":               {rounds: minLossRounds, severed: true},
-		"too few rounds":              {rounds: minLossRounds - 1},
+		"enough rounds":  {rounds: minLossRounds, severed: true},
+		"too few rounds": {rounds: minLossRounds - 1},
+		"too short a time": {then: func(l *links) {
+			for n := range 2 * minLossRounds {
+				unansweredRound(l, "a", start.Add(time.Duration(n)*minLossTime/(2*minLossRounds)))
+			}
+		}},
 		"bytes before":                {rounds: minLossRounds, lastRead: start, anyRead: start, severed: true},
 		"bytes meanwhile":             {rounds: minLossRounds, lastRead: start.Add(1), anyRead: start.Add(1)},
 		"bytes of another replica":    {rounds: minLossRounds, anyRead: end, severed: true},
@@ -79,14 +87,14 @@
 		l.use(record(addr), start)
 		if addr != "d" {
 			is.True(!l.isSevered("a", never, never))
-			unansweredRound(l, addr, start.Add(time.Duration(n)*probeInterval))
+			unansweredRound(l, addr, start.Add(time.Duration(n)*roundInterval))
 		}
 	}
 	is.True(l.isStranded())
 	is.True(l.isSevered("a", never, never))
 	is.True(!l.isSevered("d", never, never))
-	c, _ := l.beginCheck("d", start.Add(minLossRounds*probeInterval))
-	l.endCheck("d", c, unanswered, start.Add((minLossRounds+1)*probeInterval))
+	c, _ := l.beginCheck("d", start.Add(minLossRounds*roundInterval))
+	l.endCheck("d", c, unanswered, start.Add((minLossRounds+1)*roundInterval))
 	is.True(l.isSevered("d", never, never))
 	is.True(!l.isSevered("d", never, start.Add(1))) // a replica was heard
 }
