--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -55,6 +55,8 @@
 	// exitMargin is the part of the grace period that is reserved for the process
 	// exit.
 	exitMargin = 700 * time.Millisecond
+	// removeTimeout limits the removal of the host's record, which fits in exitMargin.
+	removeTimeout = 300 * time.Millisecond
 	// drainPollInterval is how often drain checks whether the last request has ended.
 	drainPollInterval = 20 * time.Millisecond
 	// sweepInterval is how often idle connections to replicas are checked.
@@ -139,7 +141,7 @@
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
 		limiter.Configure, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), p.replicas, p.table.Known)
-	p.pool, p.hostPool = forward.NewPool(), forward.NewPool()
+	p.pool, p.hostPool = forward.NewPool(), forward.NewPoolWith(peers.NewDialer(p.table.Self()))
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
@@ -168,7 +170,8 @@
 func (p *gatewayProcess) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	frontend := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}
+	frontend := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout,
+		ConnContext: gateway.ConnContext}
 	group, runCtx := errgroup.WithContext(ctx)
 	listeners := []endpoint{
 		{frontend, p.settings.Frontend},
@@ -189,6 +192,9 @@
 		if err != nil {
 			return oops.Wrapf(err, "listen on %s", l.addr)
 		}
+		if l.server == frontend {
+			listener = p.gateway.CallerListener(listener, clientIdleTimeout)
+		}
 		group.Go(func() error {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				return oops.Wrapf(err, "serve on %s", l.addr)
@@ -298,19 +304,24 @@
 func (p *gatewayProcess) drain(frontend *http.Server) {
 	start := time.Now()
 	p.events.Log(event.HostDraining, event.Fields{"host": p.settings.Host, "active": p.gateway.Active()})
-	p.gateway.Drain()
+	end := start.Add(p.settings.Grace - exitMargin)
+	p.gateway.Drain(end)
 	p.table.SetLeaving()
 	p.beacon.Announce()
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(p.settings.Grace-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	time.Sleep(drainDelay)
-	// Requests that outlast the grace period are cut when the platform kills the
-	// process.
+	select {
+	case <-time.After(drainDelay):
+	case <-ctx.Done():
+	}
+	// Streams that outlast the grace period are cut when the process exits.
 	_ = frontend.Shutdown(ctx)
 	for (p.gateway.Active() > 0 || !p.owner.Idle()) && ctx.Err() == nil {
 		time.Sleep(drainPollInterval)
 	}
-	if err := p.registry.Remove(ctx); err != nil {
+	removeCtx, cancelRemove := context.WithTimeout(context.Background(), removeTimeout)
+	defer cancelRemove()
+	if err := p.registry.Remove(removeCtx); err != nil {
 		p.events.Log(event.StoreUnreachable, event.Fields{"error": err.Error()})
 	}
 }
