gateway: an answer that is ready after its deadline can still be written

What callers saw: no answer and a closed connection for every request whose host was paused, or short of processor time, until a second after the deadline, although the host had an answer (408, 503, 504 or the replica's).

A write after the deadline now gets a second from its own start. Writes to callers that do not read are limited as before: after the deadline nothing more is read from a replica (TestCallerThatStopsReading).

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -18,7 +18,8 @@
 // rejection would cost the caller one of few retries, and then the whole program.
 const maxRateWait = 300 * time.Millisecond
 
-// writeGrace is how long after the deadline of a request the end of its answer may be written.
+// writeGrace is how long after the deadline of a request, or after an answer that is late is ready,
+// its end may be written.
 const writeGrace = time.Second
 
 // discardTimeout limits the time in which the rest of a body may arrive if its request was refused
@@ -176,6 +177,14 @@
 	_ = http.NewResponseController(x.w).SetWriteDeadline(deadline.Add(writeGrace))
 }
 
+// beforeWrite is called before a part of the answer is written. If the host was paused until after
+// the deadline, the caller still gets what is ready.
+func (x *exchange) beforeWrite() {
+	if now := time.Now(); !x.deadline.IsZero() && now.After(x.deadline) {
+		x.limitWrites(now)
+	}
+}
+
 // admitRate charges the request to the client account's quota.
 func (x *exchange) admitRate(ctx context.Context) *refusal {
 	r := quota.Request{Urgent: x.priority() == 0}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -80,6 +80,7 @@
 		x.refundQuota()
 	}
 	x.status, x.reason, x.detail = f.status, f.reason, f.detail
+	x.beforeWrite()
 	f.write(x.w)
 }
 
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -30,6 +30,9 @@
 
 func (codec) Decode(r *http.Request) (*gateway.Call, error) {
 	h := gateway.EndToEnd(r.Header)
+	if pause, err := time.ParseDuration(h.Get("Pause")); err == nil {
+		time.Sleep(pause) // as if the host were paused
+	}
 	call := &gateway.Call{ID: h.Get("Id"), Key: h.Get("Key"), Method: r.Method, URI: r.RequestURI, Path: r.URL.Path,
 		Host: "h", Header: h, HasBody: r.Method == http.MethodPost, Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), MaxTokens: 10}
 	call.Budget, _ = strconv.Atoi(h.Get("Budget"))
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -112,6 +112,7 @@
 	copyEndToEnd(x.w.Header(), a.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	x.status = a.Status
+	x.beforeWrite()
 	x.w.WriteHeader(a.Status)
 	// A write error means that the caller has disconnected; there is no one left to tell.
 	_, _ = x.w.Write(content)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -71,7 +71,9 @@
 	}
 	if !t.complete(ctx, streamResult{output: s.data, events: s.count}) {
 		x.endEarly(ctx, "turn was not stored in time")
+		return
 	}
+	x.beforeWrite() // the server writes the end of the stream
 }
 
 // endEarly ends a stream that cannot be completed.
@@ -104,6 +106,7 @@
 		}
 		if len(complete) > 0 {
 			x.headSent = true
+			x.beforeWrite()
 			_, writeErr := x.w.Write(complete)
 			if writeErr == nil {
 				writeErr = flusher.Flush()
