--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -86,6 +86,7 @@
 	}
 	x.status, x.reason, x.detail = f.status, f.reason, f.detail
 	x.closeAfterAnswer()
+	x.beforeWrite()
 	f.write(x.w)
 }
 
