relay: answers that must not be repeated outlast 1.4 s of failed connections

Giving up early helps only requests that may be sent again, which go on through another host. Those keep the three rounds; the others need rounds over 1.4 s. When no host reaches a replica, the rounds before are discarded.

--- a/internal/forward/flight.go
+++ b/internal/forward/flight.go
@@ -15,6 +15,8 @@
 type Flight struct {
 	// Request is the ID of the request, Addr the replica's address.
 	Request, Addr string
+	// Repeatable is set if the request may be sent again.
+	Repeatable bool
 	// QuietSince is when bytes last arrived on the connection, at the earliest the start of the
 	// request.
 	QuietSince time.Time
@@ -36,7 +38,7 @@
 // CloseQuiet closes the connections to lost addresses on which a request has been in flight without
 // any byte since before the given time, and returns these requests. isLost is called with the time
 // at which bytes last arrived over any connection to the address.
-func (p *Pool) CloseQuiet(before time.Time, isLost func(addr string, lastRead time.Time) bool) []Flight {
+func (p *Pool) CloseQuiet(before time.Time, isLost func(f Flight, lastRead time.Time) bool) []Flight {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.flights {
@@ -45,7 +47,7 @@
 	var quiet []Flight
 	for c, f := range p.flights {
 		f = f.observed(c)
-		if f.QuietSince.Before(before) && isLost(f.Addr, p.lastReads[f.Addr]) {
+		if f.QuietSince.Before(before) && isLost(f, p.lastReads[f.Addr]) {
 			quiet = append(quiet, f)
 			c.Close() // while no other request can begin on it
 		}
@@ -73,7 +75,7 @@
 func (p *Pool) begin(r *Request, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.flights[c] = Flight{Request: r.ID, Addr: r.Addr, start: time.Now()}
+	p.flights[c] = Flight{Request: r.ID, Addr: r.Addr, Repeatable: r.Repeatable, start: time.Now()}
 }
 
 // end records that the answer was read or given up.
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -19,6 +19,8 @@
 	HasBody bool
 	// ID names the request in logs.
 	ID string
+	// Repeatable is set if the request may be sent again after its connection broke.
+	Repeatable bool
 	// Addr and Instance identify the replica.
 	Addr     string
 	Instance string
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,7 +116,8 @@
 	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after})
 	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline,
 		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header,
-			Body: body, HasBody: x.call.HasBody}}
+			Repeatable: x.route.Kind == route.Safe || x.route.Resumable,
+			Body:       body, HasBody: x.call.HasBody}}
 	answer, through, err := x.g.sender.Send(attemptCtx, request, x.g.answersTo(x.call.ID))
 	x.through = through
 	if x.next = failover.end(); x.next != nil && err == nil {
--- a/internal/gateway/quiet_fleet_test.go
+++ b/internal/gateway/quiet_fleet_test.go
@@ -109,6 +109,9 @@
 				}
 				fault(sending)
 				wait.Wait()
+				if sending.links.droppedDials.Load() > 0 {
+					t.Error("packets were not lost")
+				}
 				if runs := received.Load(); runs != sent {
 					t.Errorf("%d requests ran %d times", sent, runs)
 				}
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -6,9 +6,10 @@
 	// minLossRounds is the number of rounds from which on open connections count as lost, too. One
 	// round may be a lost packet, a full listen queue or a replica that resumes between both attempts.
 	minLossRounds = 3
-	// minLossTime is the time that the rounds must span. A replica that is silent and short of room
-	// for connections may respond to some hosts only; it usually resumes after a second.
-	minLossTime = 1500 * time.Millisecond
+	// minLossTime is the time that the rounds must span before answers to requests that must not be
+	// repeated are given up. A replica that is silent and short of room for connections may respond to
+	// some hosts only; it usually resumes after a second.
+	minLossTime = 1400 * time.Millisecond
 )
 
 // evidence is what shows that the network path to replicas is lost, and not only new connections
@@ -40,7 +41,8 @@
 	}
 }
 
-// isStrong reports whether answers can be given up for it.
-func (e *evidence) isStrong() bool {
-	return e.rounds >= minLossRounds && e.until.Sub(e.since) >= minLossTime
+// isStrong reports whether answers can be given up for it. Those to repeatable requests can be
+// replaced.
+func (e *evidence) isStrong(repeatable bool) bool {
+	return e.rounds >= minLossRounds && (repeatable || e.until.Sub(e.since) >= minLossTime)
 }
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -12,11 +12,15 @@
 	"github.com/matryer/is"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/forward"
 )
 
 // roundInterval is the time between rounds of which the fewest span enough time.
 const roundInterval = minLossTime / (minLossRounds - 1)
 
+// flightTo returns a request in flight that must not be repeated.
+func flightTo(addr string) forward.Flight { return forward.Flight{Addr: addr} }
+
 // unansweredRound lets a check of a link fail and another host reach the replica then.
 func unansweredRound(l *links, addr string, at time.Time) {
 	c, _ := l.beginCheck(addr, at)
@@ -70,8 +74,8 @@
 			if test.then != nil {
 				test.then(l)
 			}
-			is.Equal(l.isSevered("a", test.lastRead, test.anyRead), test.severed)
-			is.True(!l.isSevered("b", never, never))
+			is.Equal(l.isSevered(flightTo("a"), test.lastRead, test.anyRead), test.severed)
+			is.True(!l.isSevered(flightTo("b"), never, never))
 		})
 	}
 }
@@ -86,17 +90,17 @@
 	for n, addr := range []string{"a", "b", "c", "d"} {
 		l.use(record(addr), start)
 		if addr != "d" {
-			is.True(!l.isSevered("a", never, never))
+			is.True(!l.isSevered(flightTo("a"), never, never))
 			unansweredRound(l, addr, start.Add(time.Duration(n)*roundInterval))
 		}
 	}
 	is.True(l.isStranded())
-	is.True(l.isSevered("a", never, never))
-	is.True(!l.isSevered("d", never, never))
+	is.True(l.isSevered(flightTo("a"), never, never))
+	is.True(!l.isSevered(flightTo("d"), never, never))
 	c, _ := l.beginCheck("d", start.Add(minLossRounds*roundInterval))
 	l.endCheck("d", c, unanswered, start.Add((minLossRounds+1)*roundInterval))
-	is.True(l.isSevered("d", never, never))
-	is.True(!l.isSevered("d", never, start.Add(1))) // a replica was heard
+	is.True(l.isSevered(flightTo("d"), never, never))
+	is.True(!l.isSevered(flightTo("d"), never, start.Add(1))) // a replica was heard
 }
 
 // TestCheckResults guards against a path that counts as lost because the replica refuses
@@ -115,3 +119,57 @@
 	is.Equal(resultOf(dialError(syscall.EMFILE), 0), inconclusive)
 	is.Equal(resultOf(errors.New("closed"), 0), inconclusive)
 }
+
+// unreachableRound lets a check of a link fail while no other host reaches the replica either.
+func unreachableRound(l *links, addr string, at time.Time) {
+	c, _ := l.beginCheck(addr, at)
+	l.endCheck(addr, c, unanswered, at.Add(checkTimeout))
+	l.refute(addr)
+}
+
+// TestReplicaUnreachableForAllIsNoEvidence guards against answers that are given up because of rounds
+// between which no host reached the replica: its new connections fail, not the link.
+func TestReplicaUnreachableForAllIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	l := newLinks(event.Discard())
+	l.use(record("a"), start)
+	for n := range minLossRounds {
+		at := start.Add(time.Duration(2*n) * roundInterval)
+		unansweredRound(l, "a", at)
+		if n < minLossRounds-1 {
+			unreachableRound(l, "a", at.Add(roundInterval))
+		}
+	}
+	is.True(!l.isSevered(flightTo("a"), time.Time{}, time.Time{}))
+}
+
+// TestInconclusiveCheckIsNoRound guards against a round that is counted for an earlier check, after
+// which no host reached the replica, and one that failed because this host was late.
+func TestInconclusiveCheckIsNoRound(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	l := newLinks(event.Discard())
+	l.use(record("a"), start)
+	unreachableRound(l, "a", start)
+	late := start.Add(roundInterval)
+	c, _ := l.beginCheck("a", late)
+	l.endCheck("a", c, inconclusive, late.Add(2*checkTimeout))
+	l.confirm("a")
+	l.reachedElsewhere("a", late.Add(2*checkTimeout))
+	is.Equal(l.byAddr["a"].loss.rounds, 0)
+}
+
+// TestRepeatableRequestsMoveSooner guards against requests that another host could serve and that wait
+// as long as those which must not be repeated.
+func TestRepeatableRequestsMoveSooner(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	l := newLinks(event.Discard())
+	l.use(record("a"), start)
+	for n := range minLossRounds {
+		unansweredRound(l, "a", start.Add(time.Duration(n)*probeInterval))
+	}
+	is.True(l.isSevered(forward.Flight{Addr: "a", Repeatable: true}, time.Time{}, time.Time{}))
+	is.True(!l.isSevered(flightTo("a"), time.Time{}, time.Time{}))
+}
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cowslipgw/internal/event"
+	"cowslipgw/internal/forward"
 	"cowslipgw/internal/replica"
 )
 
@@ -57,19 +58,19 @@
 	return l.stranded || (r != nil && r.confirmed)
 }
 
-// isSevered reports whether open connections to an address are lost, too. LastRead and anyRead are
-// when bytes last arrived from there and from any replica.
-func (l *links) isSevered(addr string, lastRead, anyRead time.Time) bool {
+// isSevered reports whether the connection of a request in flight is lost, too. LastRead and anyRead
+// are when bytes last arrived from its address and from any replica.
+func (l *links) isSevered(f forward.Flight, lastRead, anyRead time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.byAddr[addr]
+	r := l.byAddr[f.Addr]
 	if r == nil || r.unansweredAt.IsZero() {
 		return false
 	}
 	r.loss.heard(lastRead)
 	l.loss.heard(anyRead)
-	return (r.confirmed && r.loss.isStrong()) ||
-		(l.stranded && l.loss.isStrong() && !r.unansweredAt.Before(l.loss.since))
+	return (r.confirmed && r.loss.isStrong(f.Repeatable)) ||
+		(l.stranded && l.loss.isStrong(f.Repeatable) && !r.unansweredAt.Before(l.loss.since))
 }
 
 // reachedElsewhere records that a replica responded to a new connection of another host, which was
@@ -124,7 +125,7 @@
 	defer l.mu.Unlock()
 	r := l.linkLocked(addr)
 	r.heardAt = now
-	l.respondedLocked(r)
+	l.discardLocked(r)
 	if !r.lost && l.suspectedAt.IsZero() {
 		return
 	}
@@ -135,8 +136,8 @@
 	l.updateLocked()
 }
 
-// respondedLocked records that the path to a replica works.
-func (l *links) respondedLocked(r *link) {
+// discardLocked discards what seemed to show that the path to a replica, or to all, is lost.
+func (l *links) discardLocked(r *link) {
 	r.loss, l.loss, r.unansweredAt = evidence{}, evidence{}, time.Time{}
 }
 
@@ -173,7 +174,13 @@
 func (l *links) refute(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r := l.byAddr[addr]; r != nil && !r.confirmed {
+	r := l.byAddr[addr]
+	if r == nil {
+		return
+	}
+	// New connections of all hosts fail, so earlier rounds do not show a lost path of this one.
+	l.discardLocked(r)
+	if !r.confirmed {
 		r.lost = false
 	}
 }
@@ -236,7 +243,7 @@
 	r := l.linkLocked(addr)
 	switch result {
 	case refused:
-		l.respondedLocked(r)
+		l.discardLocked(r) // the path works
 	case unanswered:
 		r.unansweredAt = c.started
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -92,7 +92,7 @@
 	if now.Sub(s.watch.judgeFrom) < quietAnswerLimit {
 		return
 	}
-	isLost := func(addr string, read time.Time) bool { return s.links.isSevered(addr, read, lastRead) }
+	isLost := func(f forward.Flight, read time.Time) bool { return s.links.isSevered(f, read, lastRead) }
 	for _, f := range s.pool.CloseQuiet(now.Add(-quietAnswerLimit), isLost) {
 		answersGivenUp.Inc()
 		s.events.Log(event.AnswerGivenUp, event.Fields{"request": f.Request, "replica": s.links.recordOf(f.Addr).ID, "addr": f.Addr,
