peers: a stopping host refuses later calls at once, also beside one in progress

Cause: Shutdown closed the reading side of connections. Now calls after it are read and directed to a service that does not exist, to which net/rpc replies with an error: not executed, as hosts of earlier builds understand it. Connections stay open until the process exits.

--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -5,11 +5,15 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/guard"
 )
 
+// shutdownPoll is how often Shutdown checks whether the calls in progress are answered.
+const shutdownPoll = 5 * time.Millisecond
+
 // Server answers the calls of other hosts.
 type Server struct {
 	rpc    *rpc.Server
@@ -18,14 +22,13 @@
 	mu       sync.Mutex
 	stopped  bool
 	listener net.Listener
-	conns    map[net.Conn]struct{}
-	// serving counts the connections in conns.
-	serving sync.WaitGroup
+	// inProgress is the number of calls without a reply.
+	inProgress int
 }
 
 // NewServer returns a server for the services that are registered with server.
 func NewServer(server *rpc.Server, events *event.Logger) *Server {
-	return &Server{rpc: server, events: events, conns: make(map[net.Conn]struct{})}
+	return &Server{rpc: server, events: events}
 }
 
 // Serve answers the calls on a listener until it is closed.
@@ -38,62 +41,54 @@
 		if err != nil {
 			return err
 		}
-		if !s.add(conn) {
-			// The caller goes to another host.
-			_ = conn.Close()
-			continue
-		}
 		go guard.Run(s.events, "connection of another host", func() {
-			defer s.remove(conn)
-			s.rpc.ServeCodec(newCodec(conn))
+			s.rpc.ServeCodec(&serverCodec{codec: newCodec(conn), server: s})
 		})
 	}
 }
 
-// add registers a connection. It reports false after Shutdown.
-func (s *Server) add(conn net.Conn) bool {
+// begin records a call. It reports false after Shutdown.
+func (s *Server) begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped {
-		return false
-	}
-	s.conns[conn] = struct{}{}
-	s.serving.Add(1)
-	return true
+	s.inProgress++
+	return !s.stopped
 }
 
-func (s *Server) remove(conn net.Conn) {
+// end records that a call was answered.
+func (s *Server) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, conn)
-	s.serving.Done()
+	s.inProgress--
 }
 
-// Shutdown accepts no further calls and waits until those in progress are answered, or until ctx ends.
-// Callers find their connection closed and go to the next host at once.
-func (s *Server) Shutdown(ctx context.Context) error {
+// stop accepts no further calls.
+func (s *Server) stop() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.stopped = true
 	if s.listener != nil {
 		// An error means that it is closed already.
 		_ = s.listener.Close()
 	}
-	for conn := range s.conns {
-		if half, ok := conn.(interface{ CloseRead() error }); ok {
-			// net/rpc closes a connection whose calls have ended once it can read no more.
-			_ = half.CloseRead()
+}
+
+func (s *Server) isIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inProgress == 0
+}
+
+// Shutdown waits until the calls in progress are answered, or until ctx ends. Further ones are refused
+// as not executed on the connections that are open, so that their callers go to the next host at once.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stop()
+	for !s.isIdle() {
+		select {
+		case <-time.After(shutdownPoll):
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
-	s.mu.Unlock()
-	answered := make(chan struct{})
-	go func() {
-		s.serving.Wait()
-		close(answered)
-	}()
-	select {
-	case <-answered:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return nil
 }
