--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,8 +77,8 @@
 // New returns a gateway that uses the given dependencies.
 func New(deps Dependencies) *Gateway {
 	stopped, giveUp := context.WithCancel(context.Background())
-	return &Gateway{stopped: stopped, giveUp: giveUp, codec: deps.Codec, config: deps.Config, quota: deps.Quota, costs: deps.Costs, replicas: deps.Replicas, pacing: deps.Pacing,
-		sender: deps.Sender, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
+	return &Gateway{stopped: stopped, giveUp: giveUp, codec: deps.Codec, config: deps.Config, quota: deps.Quota,
+		costs: deps.Costs, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
 		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -159,10 +159,10 @@
 	}
 }
 
-// complete stores a turn that was answered completely. It reports whether the turn is
-// stored before the request is cancelled or storeGrace after its deadline: an answer must not look complete while its turn could still be
-// lost. A turn that no other can continue is settled without waiting, since its reservation
-// counts against the budget until then.
+// complete stores a turn that was answered completely. It reports whether the turn is stored
+// before the request is cancelled, and until storeGrace after its deadline: an answer must not look
+// complete while its turn could still be lost. A turn that no other can continue is settled without
+// waiting, since its reservation counts against the budget until then.
 func (t *turn) complete(ctx context.Context, s streamResult) bool {
 	if t == nil {
 		return true
