cmd: a second of the grace period is kept for the exit

All requests had their answers. Cause: 0.7 s for the removal of the record, the rest of the log and the exit are too little on a busy machine. The test and its bound are as they were.

--- a/cmd/cowslipgw/gateway_drain.go
+++ b/cmd/cowslipgw/gateway_drain.go
@@ -14,7 +14,7 @@
 	drainDelay = 3500 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the process
 	// exit.
-	exitMargin = 700 * time.Millisecond
+	exitMargin = time.Second
 	// removeTimeout limits the removal of the host's record, which fits in exitMargin.
 	removeTimeout = 300 * time.Millisecond
 	// drainPollInterval is how often drain checks whether the last request has ended.
