--- a/cmd/cowslipgw/gateway_notices.go
+++ b/cmd/cowslipgw/gateway_notices.go
@@ -19,6 +19,7 @@
 // receive handles what another host tells beside its own condition.
 func (p *gatewayProcess) receive(b peers.Heartbeat) {
 	p.limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
+	p.admission.ApplyReport(b.Host.ID, b.InFlight)
 	for _, limit := range b.Limits {
 		p.replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
 	}
--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
+	"cowslipgw/internal/admission"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/gateway"
@@ -80,6 +81,7 @@
 	owner      *turns.Owner
 	client     *turns.Client
 	limiter    *quota.Limiter
+	admission  *admission.Owner
 	pacer      *pacing.Pacer
 	quarantine *quarantine.Table
 	config     *gateway.ConfigWatcher
@@ -124,10 +126,13 @@
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
 	p.replicas = replica.NewSet(s.Domain, events)
 	p.quarantine = quarantine.NewTable(p.table, func(n peers.Notice) { p.beacon.Broadcast(n) }, events)
+	p.admission = admission.NewOwner(p.replicas.Slots, p.table.Counts)
+	admissionClient := admission.NewClient(p.table, peerCaller, p.admission, p.replicas.InFlight)
 	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, p.receive, events)
 	if err != nil {
 		return nil, err
 	}
+	p.beacon.SetInFlight(admissionClient.Reports)
 	p.replicas.OnLimit(p.announceLimit)
 	p.replicas.OnLeaving(p.announceLeaving)
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
@@ -137,7 +142,8 @@
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Replicas: p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
+		Admission: admissionClient,
+		Replicas:  p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
 		Quarantine: p.quarantine, Events: events, MemoryBytes: int64(requestMemoryShare * float64(s.MemoryMB) * (1 << 20)),
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
@@ -281,6 +287,9 @@
 	if err := server.RegisterName(pacing.ServiceName, pacing.NewService(p.pacer, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
+	if err := server.RegisterName(admission.ServiceName, admission.NewService(p.admission, p.events)); err != nil {
+		return oops.Wrapf(err, "register RPC service")
+	}
 	listener, err := net.Listen("tcp", p.table.Self().Addr)
 	if err != nil {
 		return oops.Wrapf(err, "listen for peer calls")
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -73,7 +73,11 @@
 	if x.g.outlasts(x.deadline) {
 		return refuseStopping()
 	}
-	return x.admitRate(r.Context())
+	if x.isTurn() && !x.route.StoresTurns {
+		// Only the owner of the program knows whether this is its first turn.
+		return nil
+	}
+	return x.admitRate(r.Context(), x.route.StoresTurns && x.call.PreviousTurn == "")
 }
 
 // bodyLimit returns the size of the longest body that is accepted, in bytes.
@@ -194,10 +198,11 @@
 	}
 }
 
-// admitRate charges the request to the client account's quota.
-func (x *exchange) admitRate(ctx context.Context) *refusal {
+// admitRate charges the request to the client account's quota. StartsProgram is set for the first
+// request of a program.
+func (x *exchange) admitRate(ctx context.Context, startsProgram bool) *refusal {
 	r := quota.Request{Urgent: x.priority() == 0}
-	if x.route.StoresTurns && x.call.PreviousTurn == "" {
+	if startsProgram {
 		r.Start, r.Cost = true, x.g.costs.Estimate(x.route.Name)
 	}
 	reply, grant := x.g.quota.Admit(ctx, x.account, x.table.Version, r)
@@ -228,7 +233,7 @@
 func (x *exchange) recordCost() {
 	switch {
 	case !x.admitted:
-	case x.route.StoresTurns:
+	case x.isTurn():
 		x.g.costs.RecordTurn(x.route.Name, x.startsProgram)
 	case x.call.Program != "":
 		x.g.costs.RecordRequest()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,7 +113,9 @@
 	failover := x.startFailover(attemptCtx, q, cancel)
 	record := lease.Record()
 	header := x.call.Header.Clone()
-	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after})
+	priority, hasPriority := x.turnPriority()
+	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after,
+		Priority: priority, HasPriority: hasPriority})
 	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline,
 		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header,
 			Repeatable: x.route.Kind == route.Safe || x.route.Resumable,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -21,6 +21,10 @@
 	Timeout time.Duration
 	// Program is the ID of the agent program; empty outside of programs.
 	Program string
+	// ProgramTime is the time until the program should be finished, which may be negative;
+	// HasProgramTime is set if the caller sent it.
+	ProgramTime    time.Duration
+	HasProgramTime bool
 	// Session names the sequence of turns within the program.
 	Session string
 	// PreviousTurn is the ID of the turn that this turn continues.
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -18,6 +18,9 @@
 	// After is the ID of the event after which the stream continues; empty to start at the
 	// position that the caller requested.
 	After string
+	// Priority is the engine priority of the request, if HasPriority is set; 0 goes first.
+	Priority    int
+	HasPriority bool
 }
 
 // AnswerInfo is the metadata of a replica's answer in addition to status and body.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cowslipgw/internal/admission"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/quarantine"
 	"cowslipgw/internal/quota"
@@ -40,6 +41,8 @@
 	admitted      bool
 	startsProgram bool
 	grant         *quota.Grant
+	// programRefused is why the program was not admitted; nil if it was.
+	programRefused *admission.Decision
 
 	// attempts counts the replicas that were tried, except those that refused the request
 	// or were unreachable; mayHaveRun is set if one of them may have executed the request.
@@ -157,6 +160,11 @@
 	if x.reason != "" {
 		fields["reason"] = x.reason
 	}
+	if d := x.programRefused; d != nil {
+		fields["admission"], fields["slots"] = d.Reason.String(), d.Slots
+		fields["in_flight"], fields["promised"] = d.InFlight, d.Promised
+		fields["time_left_ms"], fields["retry_after_ms"] = x.programTimeLeft().Milliseconds(), d.RetryAfter.Milliseconds()
+	}
 	if x.detail != "" {
 		fields["detail"] = x.detail
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,15 +28,17 @@
 
 // Gateway serves callers' requests. It implements http.Handler.
 type Gateway struct {
-	codec    Codec
-	config   *ConfigWatcher
-	quota    *quota.Client
-	costs    *quota.CostEstimator
-	replicas *replica.Set
-	pacing   *pacing.Client
-	sender   *relay.Sender
-	turns    Turns
-	events   *event.Logger
+	codec  Codec
+	config *ConfigWatcher
+	quota  *quota.Client
+	costs  *quota.CostEstimator
+	// admission decides which programs begin; nil admits all.
+	admission ProgramAdmission
+	replicas  *replica.Set
+	pacing    *pacing.Client
+	sender    *relay.Sender
+	turns     Turns
+	events    *event.Logger
 	// memory limits the long bodies and histories of the requests in progress.
 	memory *memoryBudget
 	// quarantine holds the requests that crash replicas, which crashes detects.
@@ -56,14 +58,16 @@
 
 // Dependencies are the components that a Gateway uses.
 type Dependencies struct {
-	Codec    Codec
-	Config   *ConfigWatcher
-	Quota    *quota.Client
-	Costs    *quota.CostEstimator
-	Replicas *replica.Set
-	Pacing   *pacing.Client
-	Sender   *relay.Sender
-	Turns    Turns
+	Codec  Codec
+	Config *ConfigWatcher
+	Quota  *quota.Client
+	Costs  *quota.CostEstimator
+	// Admission decides which programs begin; nil admits all.
+	Admission ProgramAdmission
+	Replicas  *replica.Set
+	Pacing    *pacing.Client
+	Sender    *relay.Sender
+	Turns     Turns
 	// MemoryBytes limits the total size of the long bodies and histories of the requests in
 	// progress; 0 means a default.
 	MemoryBytes int64
@@ -78,7 +82,7 @@
 func New(deps Dependencies) *Gateway {
 	stopped, giveUp := context.WithCancel(context.Background())
 	return &Gateway{stopped: stopped, giveUp: giveUp, codec: deps.Codec, config: deps.Config, quota: deps.Quota,
-		costs: deps.Costs, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
+		costs: deps.Costs, admission: deps.Admission, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
 		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -91,6 +91,11 @@
 		x.refuse(*f)
 		return
 	}
+	if f := x.admitTurn(ctx, begun.First); f != nil {
+		t.close(streamResult{})
+		x.refuse(*f)
+		return
+	}
 	if flattened {
 		t.record.Parent, t.history = "", begun.Chain
 	}
@@ -122,6 +127,20 @@
 	x.writeAnswer(a.answer, content)
 }
 
+// admitTurn decides whether a turn that its program's owner has granted may run. First is set for
+// the program's first turn.
+func (x *exchange) admitTurn(ctx context.Context, first bool) *refusal {
+	if !x.route.StoresTurns {
+		if f := x.admitRate(ctx, first); f != nil {
+			return f
+		}
+	}
+	if !first {
+		return nil
+	}
+	return x.admitProgram(ctx)
+}
+
 // refusalFor returns the refusal for the outcome of Begin, or nil if the turn may run.
 func (g *Gateway) refusalFor(o turns.Outcome) *refusal {
 	switch o {
--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -23,6 +23,8 @@
 	// it; received is called with the messages of other hosts that contain usage or a notice.
 	usage    func() map[string]map[uint32]Usage
 	received func(Heartbeat)
+	// inFlight returns the reports to send; nil for none.
+	inFlight func() InFlightReports
 	events   *event.Logger
 }
 
@@ -39,6 +41,10 @@
 	return &Beacon{table: table, conn: conn, usage: usage, received: received, events: events}, nil
 }
 
+// SetInFlight sets the function that returns the reports to send on requests in flight. It must be
+// called before Run.
+func (b *Beacon) SetInFlight(inFlight func() InFlightReports) { b.inFlight = inFlight }
+
 // Close closes the socket, which ends Receive.
 func (b *Beacon) Close() error { return b.conn.Close() }
 
@@ -53,6 +59,11 @@
 		for _, d := range b.table.usageMessages(b.usage()) {
 			b.send(d)
 		}
+		if b.inFlight != nil {
+			for _, d := range b.table.inFlightMessages(b.inFlight()) {
+				b.send(d)
+			}
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -111,7 +122,7 @@
 	if reply != nil {
 		b.send(*reply)
 	}
-	if ok && (len(beat.Usage) > 0 || !beat.Notice.isEmpty()) {
+	if ok && (len(beat.Usage)+len(beat.InFlight)+len(beat.FleetInFlight) > 0 || !beat.Notice.isEmpty()) {
 		b.received(beat)
 	}
 }
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -30,6 +30,11 @@
 	Hello bool `cbor:"8,keyasint,omitempty"`
 	// Reports are changes in what the sender hears of the hosts that it watches.
 	Reports []Report `cbor:"9,keyasint,omitempty"`
+	// InFlight is what the sender has in flight, for the owners of services. FleetInFlight is what
+	// all hosts have in flight at services that the sender owns, by replica. Hosts of earlier builds
+	// neither send nor read them.
+	InFlight      []ServiceInFlight `cbor:"17,keyasint,omitempty"`
+	FleetInFlight []ServiceInFlight `cbor:"18,keyasint,omitempty"`
 	Notice
 }
 
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -113,6 +113,7 @@
 	}
 	lease := &Lease{set: s, replica: best, class: q.Class, start: now, small: tooSmall}
 	best.inflight++
+	s.countClassLocked(best.record.Service, q.Class, 1)
 	best.awaitingFirstByte[lease] = struct{}{}
 	return lease
 }
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -77,6 +77,7 @@
 	l.done = true
 	r := l.replica
 	r.inflight--
+	l.set.countClassLocked(r.record.Service, l.class, -1)
 	noFirstByte := !l.firstByteSeen
 	l.firstByteLocked()
 	now := time.Now()
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -21,6 +21,8 @@
 	byID      map[string]*Replica
 	services  map[string][]*Replica
 	baselines map[string]*baseline
+	// classes counts the attempts in flight of this host.
+	classes map[serviceClass]int
 	// sizes holds the sizes of requests by service.
 	sizes map[string]*sizes
 	// leaving holds the incarnations that are about to end.
@@ -31,7 +33,7 @@
 func NewSet(domain string, events *event.Logger) *Set {
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
 		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
-		sizes: make(map[string]*sizes), leaving: make(map[Incarnation]*leavingState)}
+		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes), leaving: make(map[Incarnation]*leavingState)}
 }
 
 // Put adds a replica or updates its record. A record of another incarnation, address or
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -63,6 +63,9 @@
 	// The caller must settle the turn as failed, since only the caller can tell that the
 	// turn does not run.
 	Uncertain bool
+	// First is set if no other turn of the program has run or is open, as far as the owner knows.
+	// Hosts of earlier builds do not set it.
+	First bool
 }
 
 // EndArgs requests that an owner settle a turn.
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -218,6 +218,7 @@
 	if old := p.turns[args.Turn]; old != nil {
 		used -= old.Tokens
 	}
+	reply.First = used == 0
 	if args.Budget > 0 && used+args.MaxTokens > args.Budget {
 		return BeginReply{Outcome: Exhausted}, nil, nil
 	}
