--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -9,7 +9,7 @@
 const (
 	// runningFraction is the part of a program's time that it needs to run on busy engines. The rest
 	// is the time that it can wait for a place.
-	runningFraction = 0.75
+	runningFraction = 0.7
 	// fillLevel is the part of the slots that may be promised. What is above it absorbs the
 	// difference between expected and actual demand.
 	fillLevel = 0.95
@@ -19,11 +19,21 @@
 	// priority, up to maxUrgentSteps.
 	urgentMargin   = 0.03
 	maxUrgentSteps = 2
+	// urgentReserve is the multiple of the wanted slots of a more urgent kind that is kept free for it.
+	urgentReserve = 1.2
 	// guaranteedPart is the part of its proportional share that each kind gets, however many
 	// urgent programs there are.
 	guaranteedPart = 0.5
-	// backlogTime is how long a backlog beyond the promised demand is expected to last.
-	backlogTime = 400 * time.Millisecond
+	// correctionTime is the time in which a difference between the requests in flight and the promised
+	// demand is expected to vanish, since the programs that cause it end.
+	correctionTime = 1500 * time.Millisecond
+	// reportLag is the average age of the reports of requests in flight.
+	reportLag = 100 * time.Millisecond
+	// maxShortfall is the part of the promised demand by which the requests in flight may lower it.
+	// Hosts of earlier builds, and those whose reports are lost, have requests that do not count.
+	maxShortfall = 0.5
+	// historySlices is the number of past slices of which the promised demand is kept.
+	historySlices = 8
 	// returnGrace is how long a place is kept for a program that does not come back in time.
 	returnGrace = 300 * time.Millisecond
 	// rememberTime is how long the pool remembers a program that it refused.
@@ -46,6 +56,11 @@
 	programs map[uint64]*place
 	// inFlight is the number of requests that all hosts have in flight.
 	inFlight float64
+	// correction is the number of requests in flight beyond the promised demand at that time; it may
+	// be negative.
+	correction float64
+	// history holds the promised demand of the last slices.
+	history [historySlices]float64
 	// firstAdmission is the time of the first decision; 0 before it.
 	firstAdmission boottime.Instant
 	sweptAt        boottime.Instant
@@ -67,6 +82,9 @@
 		total += n
 	}
 	p.inFlight = float64(total)
+	p.advance(now)
+	expected := p.history[sliceOf(now.Add(-reportLag))%historySlices]
+	p.correction = max(p.inFlight-expected, -maxShortfall*expected)
 	// Requests that wait in replicas would count as demand.
 	if p.firstAdmission == 0 || now.Sub(p.firstAdmission) < learnAfter || p.inFlight > p.slots {
 		return
@@ -106,6 +124,7 @@
 	p.promised.advance(now)
 	p.late.advance(now)
 	current := sliceOf(now)
+	p.history[current%historySlices] = p.promised.at(current)
 	for key, k := range p.kinds {
 		k.promised.advance(now)
 		if k.currentWanted(now) < minWanted && k.promised.at(current) == 0 && now.Sub(k.wantedAt) > rememberTime {
@@ -198,14 +217,12 @@
 	return start, start <= latest
 }
 
-// usedAt returns the slots that are in use in a slice: those promised, and in the near future the
-// requests in flight beyond them.
+// usedAt returns the slots that are expected to be in use in a slice: those promised, corrected by
+// the requests in flight.
 func (p *Pool) usedAt(current, at int64) float64 {
-	used := p.promised.at(at)
-	if at < current+int64(backlogTime/slice) {
-		used += max(p.inFlight-p.promised.at(current), 0)
-	}
-	return used
+	const slices = int64(correctionTime / slice)
+	remaining := max(slices-(at-current), 0)
+	return max(p.promised.at(at)+p.correction*float64(remaining)/float64(slices), 0)
 }
 
 // limit returns the number of slots that may be in use after a program of a kind begins.
@@ -235,7 +252,7 @@
 	for _, other := range p.kinds {
 		switch {
 		case other.priority < k.priority:
-			left -= other.currentWanted(now)
+			left -= urgentReserve * other.currentWanted(now)
 		case other.priority > k.priority:
 			left -= guaranteed(other)
 		}
