--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -8,39 +8,59 @@
 )
 
 const (
-	// wantedTime is the averaging time of the wanted slots of a kind.
-	wantedTime = time.Second
-	// demandTime is the averaging time of the slots that a running program uses.
-	demandTime = 3 * time.Second
-	// priorSlots is the number of slots that a running program is assumed to use until some are
-	// observed: a program spends most of its time in one turn at a time.
-	priorSlots = 0.8
-	// priorPrograms is the weight of this prior, as a number of running programs.
-	priorPrograms = 4
+	// wantedTime is the averaging time of the slots that the programs of a kind want.
+	wantedTime = 600 * time.Millisecond
+	// workTime is the averaging time of the work of programs.
+	workTime = 5 * time.Second
+	// priorWork is the work of a program, as a part of its time in slots, that is assumed until some is
+	// observed. priorWeight is the weight of this prior, as a sum of the times of programs.
+	priorWork   = 0.5
+	priorWeight = 10 * time.Second
+	// runningFraction is the part of a program's time that it needs to run on busy engines. The rest
+	// is the time that it can wait for a place.
+	runningFraction = 0.7
 )
 
-// routeDemand learns how many slots a running program of one route uses.
+// decayed returns the weight of a value after a time, if values lose 1/e of their weight in an
+// averaging time.
+func decayed(elapsed, averaging time.Duration) float64 {
+	return math.Exp(-float64(max(elapsed, 0)) / float64(averaging))
+}
+
+// routeDemand learns how much work the programs of one route cause: the time in which they have
+// requests in flight.
 type routeDemand struct {
-	// running counts the admitted programs that are expected to run.
-	running timeline
-	// programs and inFlight are averages of the number of running programs and of their requests in
-	// flight, at observedAt.
-	programs, inFlight float64
-	observedAt         boottime.Instant
+	// work is the observed work and times the sum of the times of the programs that cause it, both as
+	// moving sums at updatedAt.
+	work, times float64
+	updatedAt   boottime.Instant
+	// meanWork and meanDuration are moving averages over the programs that asked to begin in time.
+	meanWork     float64
+	meanDuration time.Duration
+}
+
+// averageWeight is the weight of a new program in the averages of its route.
+const averageWeight = 0.05
+
+// average adds a program that asked to begin in time.
+func (d *routeDemand) average(work float64, duration time.Duration) {
+	if d.meanDuration == 0 {
+		d.meanWork, d.meanDuration = work, duration
+	}
+	d.meanWork += averageWeight * (work - d.meanWork)
+	d.meanDuration += time.Duration(averageWeight * float64(duration-d.meanDuration))
 }
 
-// slots returns the expected number of slots that a running program uses.
-func (d *routeDemand) slots() float64 {
-	return (d.inFlight + priorSlots*priorPrograms) / (d.programs + priorPrograms)
+func (d *routeDemand) advance(now boottime.Instant) {
+	weight := decayed(now.Sub(d.updatedAt), workTime)
+	d.work, d.times = d.work*weight, d.times*weight
+	d.updatedAt = now
 }
 
-// observe adds the number of requests in flight of the programs that run now.
-func (d *routeDemand) observe(now boottime.Instant, inFlight int) {
-	d.running.advance(now)
-	weight := 1 - math.Exp(-float64(now.Sub(d.observedAt))/float64(demandTime))
-	d.observedAt = now
-	d.programs += weight * (d.running.at(sliceOf(now)) - d.programs)
-	d.inFlight += weight * (float64(inFlight) - d.inFlight)
+// workOf returns the expected work of a program with the given time, in slot-seconds.
+func (d *routeDemand) workOf(programTime time.Duration) float64 {
+	prior := priorWeight.Seconds()
+	return programTime.Seconds() * (d.work + priorWork*prior) / (d.times + prior)
 }
 
 // kindKey identifies a group of programs that compete as one.
@@ -49,24 +69,35 @@
 	priority int
 }
 
-// kind is what the pool knows of one group of programs.
+// kind is what a pool knows of one group of programs.
 type kind struct {
 	kindKey
-	// promised is the expected demand of the admitted programs.
-	promised timeline
-	// wanted is the number of slots that all programs which ask for a place would use, as an
-	// average at wantedAt.
-	wanted   float64
-	wantedAt boottime.Instant
+	demand *routeDemand
+	// wanted is the number of slots that all programs which ask to begin would use, and expected the
+	// number that the admitted ones are expected to use, as averages at updatedAt.
+	wanted, expected float64
+	updatedAt        boottime.Instant
+	// nextPlace is the time of the next place that is not promised to a refused program.
+	nextPlace boottime.Instant
+}
+
+func (k *kind) advance(now boottime.Instant) {
+	elapsed := now.Sub(k.updatedAt)
+	k.wanted *= decayed(elapsed, wantedTime)
+	k.expected *= decayed(elapsed, k.duration())
+	k.updatedAt = now
 }
 
-// currentWanted returns the wanted slots, decayed since the last request.
-func (k *kind) currentWanted(now boottime.Instant) float64 {
-	return k.wanted * math.Exp(-float64(now.Sub(k.wantedAt))/float64(wantedTime))
+// want adds a program that asks to begin for the first time.
+func (k *kind) want(pl *place) {
+	k.wanted += pl.work / wantedTime.Seconds()
+	k.demand.average(pl.work, pl.duration)
 }
 
-// want adds a program that uses slots for a time.
-func (k *kind) want(now boottime.Instant, slots float64, d time.Duration) {
-	k.wanted = k.currentWanted(now) + slots*float64(d)/float64(wantedTime)
-	k.wantedAt = now
+// duration returns the average of the expected durations of programs.
+func (k *kind) duration() time.Duration { return max(k.demand.meanDuration, slice) }
+
+// begin adds an admitted program.
+func (k *kind) begin(pl *place) {
+	k.expected += pl.work / k.duration().Seconds()
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -1,74 +1,80 @@
 package admission
 
 import (
+	"iter"
+	"maps"
 	"time"
 
 	"cowslipgw/internal/boottime"
 )
 
 const (
-	// runningFraction is the part of a program's time that it needs to run on busy engines. The rest
-	// is the time that it can wait for a place.
-	runningFraction = 0.7
-	// fillLevel is the part of the slots that may be promised. What is above it absorbs the
-	// difference between expected and actual demand.
-	fillLevel = 0.95
-	// spareLevel is the part of the slots up to which programs begin that cannot be in time.
-	spareLevel = 0.7
+	// fillLevel is the part of the slots that the admitted programs may use. What is above it absorbs
+	// the variation of their demand.
+	fillLevel = 0.97
+	// spareLevel is the part of the slots that may be in use after a program begins that cannot be in
+	// time, and that such programs and those which want to begin in time may want together.
+	spareLevel = 0.85
+	// relaxedLevel is the part of the slots in use below which no kind is held to its share.
+	relaxedLevel = 0.9
 	// urgentMargin is the part of the slots that is left to more urgent programs for each step of
 	// priority, up to maxUrgentSteps.
 	urgentMargin   = 0.03
 	maxUrgentSteps = 2
-	// urgentReserve is the multiple of the wanted slots of a more urgent kind that is kept free for it.
-	urgentReserve = 1.2
-	// guaranteedPart is the part of its proportional share that each kind gets, however many
-	// urgent programs there are.
-	guaranteedPart = 0.5
-	// correctionTime is the time in which a difference between the requests in flight and the promised
-	// demand is expected to vanish, since the programs that cause it end.
-	correctionTime = 1500 * time.Millisecond
+	// guaranteedPart is the part of its proportional share that each kind gets, however many urgent
+	// programs there are.
+	guaranteedPart = 0.75
+	// firstSlots is the number of slots that a program uses right after it began.
+	firstSlots = 0.9
 	// reportLag is the average age of the reports of requests in flight.
 	reportLag = 100 * time.Millisecond
-	// maxShortfall is the part of the promised demand by which the requests in flight may lower it.
-	// Hosts of earlier builds, and those whose reports are lost, have requests that do not count.
-	maxShortfall = 0.5
-	// historySlices is the number of past slices of which the promised demand is kept.
-	historySlices = 8
-	// returnGrace is how long a place is kept for a program that does not come back in time.
+	// unreportedLevel is the part of the expected demand that counts even if the hosts report less:
+	// hosts of earlier builds, and those whose reports are lost, have requests that do not count.
+	unreportedLevel = 0.85
+	// incompleteLevel is the same while most reports are missing, so that the error of the expected
+	// demand does not overload the service.
+	incompleteLevel = 1.2
+	// maxWait is the longest time until a place that is promised. A longer queue would only consist of
+	// programs with much time, and take theirs away.
+	maxWait = 300 * time.Millisecond
+	// returnGrace is how long after its time a promised place is kept.
 	returnGrace = 300 * time.Millisecond
 	// rememberTime is how long the pool remembers a program that it refused.
 	rememberTime = 5 * time.Second
 	// minRetryAfter keeps a refused program from returning before the next report.
 	minRetryAfter = 50 * time.Millisecond
-	// learnAfter is how long a pool must have admitted programs before it knows how many run.
-	learnAfter = 4 * time.Second
+	// slice is the interval of maintenance, and the resolution of the recent admissions.
+	slice = 50 * time.Millisecond
+	// maxRetryAfter limits the time over which the returns of programs without a place are spread.
+	maxRetryAfter = 2 * time.Second
+	// minWanted is the number of wanted slots below which a kind without programs is forgotten.
+	minWanted = 0.01
 )
 
 // Pool decides which programs of one service begin. It is not safe for concurrent use, and the
 // times that it is given must not decrease.
 type Pool struct {
-	slots    float64
-	promised timeline
-	// late spreads the returns of programs that cannot be in time; their demand is not promised.
-	late     timeline
-	kinds    map[kindKey]*kind
+	slots float64
+	kinds map[kindKey]*kind
+	// late holds the programs that begin into spare capacity, by the hash of their route.
+	late     map[uint32]*kind
 	routes   map[uint32]*routeDemand
 	programs map[uint64]*place
-	// inFlight is the number of requests that all hosts have in flight.
-	inFlight float64
-	// correction is the number of requests in flight beyond the promised demand at that time; it may
-	// be negative.
-	correction float64
-	// history holds the promised demand of the last slices.
-	history [historySlices]float64
-	// firstAdmission is the time of the first decision; 0 before it.
-	firstAdmission boottime.Instant
-	sweptAt        boottime.Instant
+	// inFlight is the number of requests that all hosts report to have in flight, as of observedAt.
+	inFlight   float64
+	observedAt boottime.Instant
+	// incomplete is set if so little is reported that reports must be missing.
+	incomplete bool
+	// recent counts the programs that were admitted in the last slices.
+	recent recentCount
+	// nextLate spreads the returns of programs that cannot be in time.
+	nextLate boottime.Instant
+	sweptAt  boottime.Instant
 }
 
 // NewPool returns a pool without slots.
 func NewPool() *Pool {
-	return &Pool{kinds: make(map[kindKey]*kind), routes: make(map[uint32]*routeDemand), programs: make(map[uint64]*place)}
+	return &Pool{kinds: make(map[kindKey]*kind), late: make(map[uint32]*kind), routes: make(map[uint32]*routeDemand), programs: make(map[uint64]*place)}
 }
 
 // SetSlots sets the number of requests that the service's replicas run at the same time.
@@ -77,211 +83,254 @@
 // Observe updates the pool with the number of requests that all hosts have in flight, by the hash of
 // their route.
 func (p *Pool) Observe(now boottime.Instant, inFlight map[uint32]int) {
+	p.advance(now)
 	total := 0
 	for _, n := range inFlight {
 		total += n
 	}
 	p.inFlight = float64(total)
-	p.advance(now)
-	expected := p.history[sliceOf(now.Add(-reportLag))%historySlices]
-	p.correction = max(p.inFlight-expected, -maxShortfall*expected)
-	// Requests that wait in replicas would count as demand.
-	if p.firstAdmission == 0 || now.Sub(p.firstAdmission) < learnAfter || p.inFlight > p.slots {
+	elapsed := min(now.Sub(p.observedAt), time.Second).Seconds()
+	p.observedAt = now
+	if p.incomplete = p.inFlight < unreportedLevel/2*p.expected(); p.incomplete {
 		return
 	}
 	for route, d := range p.routes {
-		d.observe(now, inFlight[route])
+		d.work += float64(inFlight[route]) * elapsed
 	}
 }
 
 // Admit decides whether a program may begin now.
 func (p *Pool) Admit(now boottime.Instant, r Request) Decision {
 	p.advance(now)
-	if p.firstAdmission == 0 {
-		p.firstAdmission = now
-	}
-	current := sliceOf(now)
-	known := p.programs[r.Program]
-	if known != nil && known.begun {
-		return p.decision(Admitted, 0, current)
-	}
-	pl := p.place(now, r, known)
-	p.release(pl)
-	n := slicesIn(pl.duration)
-	if start, ok := p.fit(pl, current, pl.latest, n); ok {
-		p.reserve(pl, start, n)
-		if start == current {
-			pl.begun, pl.forgetAt = true, now.Add(max(pl.duration, rememberTime))
-			return p.decision(Admitted, 0, current)
-		}
-		return p.decision(NoCapacity, time.Duration(start-current)*slice, current)
+	pl := p.place(now, r)
+	switch {
+	case pl.begun:
+		return p.decision(Admitted, 0)
+	case pl.promisedAt != 0 && now >= pl.promisedAt.Add(-slice):
+		return p.begin(now, pl, pl.kind)
+	case pl.promisedAt != 0:
+		return p.decision(NoCapacity, pl.promisedAt.Sub(now))
+	case pl.refused || now > pl.latest:
+		return p.admitSpare(now, pl)
+	}
+	k := pl.kind
+	share, guaranteed, overloaded := p.share(k)
+	free := min(p.limit(k, guaranteed)-p.used(), share-p.usedBy(k))
+	if free >= firstSlots && (!overloaded || k.nextPlace <= now) {
+		return p.begin(now, pl, k)
 	}
-	return p.admitLate(now, pl, n)
+	// The places of this kind become free at the rate at which its programs end.
+	at := max(k.nextPlace, now)
+	if free < 0 {
+		at = max(at, now.Add(time.Duration(-free/max(share, 1)*float64(k.duration()))))
+	}
+	at = at.Add(time.Duration(pl.work / max(share, 1) * float64(time.Second)))
+	if at > min(pl.latest, now.Add(maxWait)) {
+		pl.refused = true
+		return p.refuseUntilSpare(now, pl, Overloaded)
+	}
+	k.nextPlace, pl.promisedAt = at, at
+	return p.decision(NoCapacity, at.Sub(now))
 }
 
-// advance drops what has passed.
-func (p *Pool) advance(now boottime.Instant) {
-	p.promised.advance(now)
-	p.late.advance(now)
-	current := sliceOf(now)
-	p.history[current%historySlices] = p.promised.at(current)
-	for key, k := range p.kinds {
-		k.promised.advance(now)
-		if k.currentWanted(now) < minWanted && k.promised.at(current) == 0 && now.Sub(k.wantedAt) > rememberTime {
-			delete(p.kinds, key)
+// place returns what the pool knows of a program that asks to begin.
+func (p *Pool) place(now boottime.Instant, r Request) *place {
+	pl := p.programs[r.Program]
+	if pl == nil {
+		k := p.kind(now, kindKey{r.Route, r.Priority})
+		left := max(r.TimeLeft, 0)
+		duration := time.Duration(runningFraction * float64(left))
+		pl = &place{kind: k, work: k.demand.workOf(left), time: left, duration: duration, latest: now.Add(r.TimeLeft - duration)}
+		if r.TimeLeft > 0 {
+			k.want(pl)
+		} else {
+			pl.refused, pl.work, pl.duration = true, k.demand.meanWork, k.demand.meanDuration
 		}
+		p.programs[r.Program] = pl
 	}
-	for _, d := range p.routes {
-		d.running.advance(now)
+	if !pl.begun {
+		pl.forgetAt = now.Add(rememberTime)
 	}
-	if now.Sub(p.sweptAt) < slice {
-		return
+	return pl
+}
+
+// kind returns the group of programs with a key.
+func (p *Pool) kind(now boottime.Instant, key kindKey) *kind {
+	k := p.kinds[key]
+	if k != nil {
+		return k
 	}
-	p.sweptAt = now
-	for program, pl := range p.programs {
-		if pl.reserved && !pl.begun && current > pl.first+int64(returnGrace/slice) {
-			p.release(pl)
-		}
-		if now >= pl.forgetAt {
-			p.release(pl)
-			delete(p.programs, program)
-		}
+	d := p.routes[Hash(key.route)]
+	if d == nil {
+		d = &routeDemand{updatedAt: now}
+		p.routes[Hash(key.route)] = d
 	}
+	k = &kind{kindKey: key, demand: d, updatedAt: now}
+	p.kinds[key] = k
+	return k
 }
 
-// minWanted is the number of wanted slots below which a kind without programs is forgotten.
-const minWanted = 0.01
+// begin admits a program as one of a kind.
+func (p *Pool) begin(now boottime.Instant, pl *place, k *kind) Decision {
+	pl.begun, pl.promisedAt, pl.forgetAt = true, 0, now.Add(pl.time+rememberTime)
+	k.begin(pl)
+	if !p.incomplete {
+		k.demand.times += pl.time.Seconds()
+	}
+	p.recent.add(now)
+	return p.decision(Admitted, 0)
+}
 
-// place returns the place of a program that asks to begin; known is nil if it has not asked
-// before.
-func (p *Pool) place(now boottime.Instant, r Request, known *place) *place {
-	if known != nil {
-		known.forgetAt = now.Add(rememberTime)
-		return known
-	}
-	key := kindKey{r.Route, r.Priority}
-	k := p.kinds[key]
-	if k == nil {
-		k = &kind{kindKey: key}
-		k.promised.advance(now)
-		p.kinds[key] = k
-	}
-	routeKey := Hash(r.Route)
-	route := p.routes[routeKey]
-	if route == nil {
-		route = &routeDemand{observedAt: now}
-		route.running.advance(now)
-		p.routes[routeKey] = route
-	}
-	duration := max(time.Duration(runningFraction*float64(r.TimeLeft)), 0)
-	pl := &place{kind: k, route: route, slots: route.slots(), duration: duration,
-		latest: sliceOf(now.Add(r.TimeLeft - duration)), forgetAt: now.Add(rememberTime)}
-	k.want(now, pl.slots, duration)
-	p.programs[r.Program] = pl
-	return pl
+// admitSpare decides about a program that can begin only if the others leave capacity over.
+func (p *Pool) admitSpare(now boottime.Instant, pl *place) Decision {
+	key := Hash(pl.kind.route)
+	late := p.late[key]
+	if late == nil {
+		late = &kind{kindKey: pl.kind.kindKey, demand: pl.kind.demand, updatedAt: now}
+		p.late[key] = late
+	}
+	wanted := firstSlots
+	for _, k := range p.kinds {
+		wanted += k.wanted
+	}
+	for _, k := range p.late {
+		wanted += k.expected
+	}
+	if max(wanted, p.used()+firstSlots) <= spareLevel*p.slots || p.used() == 0 {
+		return p.begin(now, pl, late)
+	}
+	reason := TooLate
+	if now <= pl.latest {
+		reason = Overloaded
+	}
+	return p.refuseUntilSpare(now, pl, reason)
 }
 
-// reserve keeps n slices from start for a program.
-func (p *Pool) reserve(pl *place, start, n int64) {
-	pl.first, pl.end, pl.reserved = start, start+n, true
-	p.promised.add(pl.first, pl.end, pl.slots)
-	pl.kind.promised.add(pl.first, pl.end, pl.slots)
-	pl.route.running.add(pl.first, pl.end, 1)
+// refuseUntilSpare refuses a program for which there is no place in time. Its return is spread over
+// the time in which capacity may become spare.
+func (p *Pool) refuseUntilSpare(now boottime.Instant, pl *place, reason Reason) Decision {
+	drained := time.Duration(max(p.used()-spareLevel*p.slots, 0) / max(p.slots, 1) * float64(pl.kind.duration()))
+	earliest := now.Add(min(max(drained, maxWait), maxRetryAfter))
+	if p.nextLate < earliest || p.nextLate > now.Add(maxRetryAfter) {
+		p.nextLate = earliest
+	}
+	retryAfter := p.nextLate.Sub(now)
+	p.nextLate = p.nextLate.Add(time.Duration(pl.work / max(p.slots, 1) * float64(time.Second)))
+	return p.decision(reason, retryAfter)
 }
 
-// release returns what is kept for a program.
-func (p *Pool) release(pl *place) {
-	if !pl.reserved {
-		return
+// expected returns the number of slots that the admitted programs are expected to use.
+func (p *Pool) expected() float64 {
+	total := 0.0
+	for _, k := range p.kinds {
+		total += k.expected
+	}
+	for _, k := range p.late {
+		total += k.expected
 	}
-	pl.reserved = false
-	p.promised.add(pl.first, pl.end, -pl.slots)
-	pl.kind.promised.add(pl.first, pl.end, -pl.slots)
-	pl.route.running.add(pl.first, pl.end, -1)
+	return total
 }
 
-// fit returns the first slice, at most latest, from which on n slices have room for a program.
-func (p *Pool) fit(pl *place, first, latest, n int64) (int64, bool) {
-	limit := p.limit(pl.kind)
-	kindLimit := p.kindLimit(pl.kind, boottime.Instant(first*int64(slice)))
-	start := first
-	for at := first; at < start+n; at++ {
-		if start > latest {
-			return 0, false
-		}
-		used, usedByKind := p.usedAt(first, at), pl.kind.promised.at(at)
-		if (used > 0 && used+pl.slots > limit) || (usedByKind > 0 && usedByKind+pl.slots > kindLimit) {
-			start = at + 1
+// used returns the number of slots in use: the requests in flight, with the programs that have begun
+// and ended since they were counted.
+func (p *Pool) used() float64 {
+	expected, ended := 0.0, 0.0
+	for _, kinds := range []iter.Seq[*kind]{maps.Values(p.kinds), maps.Values(p.late)} {
+		for k := range kinds {
+			expected += k.expected
+			ended += k.expected * min(reportLag.Seconds()/k.duration().Seconds(), 1)
 		}
 	}
-	return start, start <= latest
+	if p.incomplete {
+		return incompleteLevel * expected
+	}
+	return max(p.inFlight+firstSlots*float64(p.recent.count())-ended, unreportedLevel*expected)
 }
 
-// usedAt returns the slots that are expected to be in use in a slice: those promised, corrected by
-// the requests in flight.
-func (p *Pool) usedAt(current, at int64) float64 {
-	const slices = int64(correctionTime / slice)
-	remaining := max(slices-(at-current), 0)
-	return max(p.promised.at(at)+p.correction*float64(remaining)/float64(slices), 0)
+// usedBy returns the part of the slots in use that belongs to a kind.
+func (p *Pool) usedBy(k *kind) float64 {
+	expected := p.expected()
+	if expected == 0 {
+		return 0
+	}
+	return p.used() * k.expected / expected
 }
 
-// limit returns the number of slots that may be in use after a program of a kind begins.
-func (p *Pool) limit(k *kind) float64 {
+// limit returns the number of slots that may be in use after a program of a kind begins. What more
+// urgent kinds have to themselves is no part of it, unless the kind has less than its guaranteed
+// share.
+func (p *Pool) limit(k *kind, guaranteed float64) float64 {
+	if p.usedBy(k)+firstSlots <= guaranteed {
+		return (fillLevel + urgentMargin) * p.slots
+	}
 	steps := 0
 	for _, other := range p.kinds {
-		if other.priority < k.priority {
-			steps = max(steps, min(k.priority-other.priority, maxUrgentSteps))
-		}
+		steps = max(steps, min(k.priority-other.priority, maxUrgentSteps))
 	}
 	return (fillLevel - urgentMargin*float64(steps)) * p.slots
 }
 
-// kindLimit returns the number of slots that one kind may use: what more urgent kinds leave over,
-// without the guaranteed part of less urgent ones, and at least its own guaranteed part.
-func (p *Pool) kindLimit(k *kind, now boottime.Instant) float64 {
+// share returns the number of slots that one kind may use, the part of them that no other kind may
+// take, and whether all kinds want more than there are. Under overload each kind gets its guaranteed
+// part, and then the more urgent ones what they want.
+func (p *Pool) share(k *kind) (slots, guaranteedSlots float64, overloaded bool) {
 	capacity := fillLevel * p.slots
 	total := 0.0
 	for _, other := range p.kinds {
-		total += other.currentWanted(now)
+		total += other.wanted
 	}
-	guaranteed := func(other *kind) float64 {
-		wanted := other.currentWanted(now)
-		return min(wanted, guaranteedPart*capacity*wanted/max(total, capacity))
+	if total <= capacity || p.used()+firstSlots <= relaxedLevel*p.slots {
+		return capacity, 0, false
 	}
-	left := capacity
+	guaranteed := guaranteedPart * capacity / total
+	left := (1 - guaranteedPart) * capacity
+	equal := 0.0
 	for _, other := range p.kinds {
 		switch {
 		case other.priority < k.priority:
-			left -= urgentReserve * other.currentWanted(now)
-		case other.priority > k.priority:
-			left -= guaranteed(other)
+			left -= (1 - guaranteed) * other.wanted
+		case other.priority == k.priority:
+			equal += other.wanted
 		}
 	}
-	return max(left, guaranteed(k))
+	if equal == 0 {
+		return guaranteed * k.wanted, guaranteed * k.wanted, true
+	}
+	return k.wanted * (guaranteed + min(max(left, 0)/equal, 1-guaranteed)), guaranteed * k.wanted, true
 }
 
-// admitLate decides about a program that cannot be in time.
-func (p *Pool) admitLate(now boottime.Instant, pl *place, n int64) Decision {
-	current := sliceOf(now)
-	limit := spareLevel * p.slots
-	for at := current; at < current+horizonSlices; at++ {
-		if used := p.usedAt(current, at) + p.late.at(at); used > 0 && used+pl.slots > limit {
-			continue
+// advance updates all averages and drops what has passed.
+func (p *Pool) advance(now boottime.Instant) {
+	p.recent.advance(now)
+	for key, k := range p.kinds {
+		k.advance(now)
+		if k.wanted < minWanted && k.expected < minWanted {
+			delete(p.kinds, key)
+		}
+	}
+	for _, k := range p.late {
+		k.advance(now)
+	}
+	for _, d := range p.routes {
+		d.advance(now)
+	}
+	if now.Sub(p.sweptAt) < slice {
+		return
+	}
+	p.sweptAt = now
+	for program, pl := range p.programs {
+		if pl.promisedAt != 0 && now > pl.promisedAt.Add(returnGrace) {
+			pl.promisedAt = 0
 		}
-		if at == current {
-			p.reserve(pl, current, n)
-			pl.begun, pl.forgetAt = true, now.Add(max(pl.duration, rememberTime))
-			return p.decision(Admitted, 0, current)
+		if now >= pl.forgetAt {
+			delete(p.programs, program)
 		}
-		p.late.add(at, at+1, pl.slots)
-		return p.decision(TooLate, time.Duration(at-current)*slice, current)
 	}
-	return p.decision(TooLate, horizonSlices*slice, current)
 }
 
-func (p *Pool) decision(reason Reason, retryAfter time.Duration, current int64) Decision {
+func (p *Pool) decision(reason Reason, retryAfter time.Duration) Decision {
 	if reason != Admitted {
 		retryAfter = max(retryAfter, minRetryAfter)
 	}
-	return Decision{Reason: reason, RetryAfter: retryAfter, Slots: p.slots, InFlight: p.inFlight, Promised: p.promised.at(current)}
+	return Decision{Reason: reason, RetryAfter: retryAfter, Slots: p.slots, InFlight: p.inFlight, Promised: p.expected()}
 }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -22,8 +22,10 @@
 const (
 	// Admitted: the program may begin.
 	Admitted Reason = iota
-	// NoCapacity: the program can be in time if it begins after Decision.RetryAfter.
+	// NoCapacity: a place is kept for the program after Decision.RetryAfter.
 	NoCapacity
+	// Overloaded: there is no place for the program within its time.
+	Overloaded
 	// TooLate: the program cannot end in time, and there is no spare capacity for it.
 	TooLate
 )
@@ -35,6 +37,8 @@
 		return "admitted"
 	case NoCapacity:
 		return "capacity"
+	case Overloaded:
+		return "overloaded"
 	case TooLate:
 		return "too late"
 	default:
