--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -14,7 +14,7 @@
 	workTime = 5 * time.Second
 	// priorWork is the work of a program, as a part of its time in slots, that is assumed until some is
 	// observed. priorWeight is the weight of this prior, as a sum of the times of programs.
-	priorWork   = 0.5
+	priorWork   = 0.4
 	priorWeight = 10 * time.Second
 	// runningFraction is the part of a program's time that it needs to run on busy engines. The rest
 	// is the time that it can wait for a place.
--- a/internal/admission/owner.go
+++ b/internal/admission/owner.go
@@ -112,12 +112,14 @@
 	s.observedAt = now
 	s.dropSilent(now)
 	routes := make(map[uint32]int)
+	age := time.Duration(0)
 	for _, r := range s.reports {
+		age += now.Sub(r.at)
 		for route, n := range r.inFlight.Routes {
 			routes[route] += int(n)
 		}
 	}
-	s.pool.Observe(now, routes)
+	s.pool.Observe(now.Add(-age/time.Duration(max(len(s.reports), 1))), routes)
 }
 
 // dropSilent drops the reports of hosts that have sent none for some time.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -23,11 +23,12 @@
 	maxUrgentSteps = 2
 	// guaranteedPart is the part of its proportional share that each kind gets, however many urgent
 	// programs there are.
-	guaranteedPart = 0.75
+	guaranteedPart = 0.85
 	// firstSlots is the number of slots that a program uses right after it began.
 	firstSlots = 0.9
-	// reportLag is the average age of the reports of requests in flight.
-	reportLag = 100 * time.Millisecond
+	// maxReportAge is the longest time by which the number of requests in flight is corrected for the
+	// programs that have begun and ended since it was observed.
+	maxReportAge = 400 * time.Millisecond
 	// unreportedLevel is the part of the expected demand that counts even if the hosts report less:
 	// hosts of earlier builds, and those whose reports are lost, have requests that do not count.
 	unreportedLevel = 0.85
@@ -36,7 +37,10 @@
 	incompleteLevel = 1.2
 	// maxWait is the longest time until a place that is promised. A longer queue would only consist of
 	// programs with much time, and take theirs away.
-	maxWait = 300 * time.Millisecond
+	maxWait = 250 * time.Millisecond
+	// drainFactor is the multiple of the time in which an excess of the requests in flight drains for
+	// which no place is promised, since those who hold a place begin meanwhile.
+	drainFactor = 2
 	// returnGrace is how long after its time a promised place is kept.
 	returnGrace = 300 * time.Millisecond
 	// rememberTime is how long the pool remembers a program that it refused.
@@ -65,8 +69,9 @@
 	observedAt boottime.Instant
 	// incomplete is set if so little is reported that reports must be missing.
 	incomplete bool
-	// recent counts the programs that were admitted in the last slices.
-	recent recentCount
+	// recent counts the programs that were admitted lately, and now is the time of the last call.
+	recent recentTimes
+	now    boottime.Instant
 	// nextLate spreads the returns of programs that cannot be in time.
 	nextLate boottime.Instant
 	sweptAt  boottime.Instant
@@ -80,17 +85,17 @@
 // SetSlots sets the number of requests that the service's replicas run at the same time.
 func (p *Pool) SetSlots(slots float64) { p.slots = slots }
 
-// Observe updates the pool with the number of requests that all hosts have in flight, by the hash of
-// their route.
-func (p *Pool) Observe(now boottime.Instant, inFlight map[uint32]int) {
-	p.advance(now)
+// Observe updates the pool with the number of requests that all hosts had in flight at a time, by the
+// hash of their route. The time may lie before that of earlier calls.
+func (p *Pool) Observe(at boottime.Instant, inFlight map[uint32]int) {
+	p.advance(max(at, p.now))
 	total := 0
 	for _, n := range inFlight {
 		total += n
 	}
 	p.inFlight = float64(total)
-	elapsed := min(now.Sub(p.observedAt), time.Second).Seconds()
-	p.observedAt = now
+	elapsed := min(max(at.Sub(p.observedAt), 0), time.Second).Seconds()
+	p.observedAt = at
 	if p.incomplete = p.inFlight < unreportedLevel/2*p.expected(); p.incomplete {
 		return
 	}
@@ -115,14 +120,14 @@
 	}
 	k := pl.kind
 	share, guaranteed, overloaded := p.share(k)
-	free := min(p.limit(k, guaranteed)-p.used(), share-p.usedBy(k))
-	if free >= firstSlots && (!overloaded || k.nextPlace <= now) {
+	free, freeOfShare := p.limit(k, guaranteed)-p.used(), share-p.usedBy(k)
+	if min(free, freeOfShare) >= firstSlots && (!overloaded || k.nextPlace <= now) {
 		return p.begin(now, pl, k)
 	}
 	// The places of this kind become free at the rate at which its programs end.
 	at := max(k.nextPlace, now)
-	if free < 0 {
-		at = max(at, now.Add(time.Duration(-free/max(share, 1)*float64(k.duration()))))
+	if excess := max(-free/max(p.slots, 1), -freeOfShare/max(share, 1)); excess > 0 {
+		at = max(at, now.Add(time.Duration(drainFactor*excess*float64(k.duration()))))
 	}
 	at = at.Add(time.Duration(pl.work / max(share, 1) * float64(time.Second)))
 	if at > min(pl.latest, now.Add(maxWait)) {
@@ -234,17 +239,18 @@
 // used returns the number of slots in use: the requests in flight, with the programs that have begun
 // and ended since they were counted.
 func (p *Pool) used() float64 {
+	age := min(p.now.Sub(p.observedAt), maxReportAge)
 	expected, ended := 0.0, 0.0
 	for _, kinds := range []iter.Seq[*kind]{maps.Values(p.kinds), maps.Values(p.late)} {
 		for k := range kinds {
 			expected += k.expected
-			ended += k.expected * min(reportLag.Seconds()/k.duration().Seconds(), 1)
+			ended += k.expected * min(age.Seconds()/k.duration().Seconds(), 1)
 		}
 	}
 	if p.incomplete {
 		return incompleteLevel * expected
 	}
-	return max(p.inFlight+firstSlots*float64(p.recent.count())-ended, unreportedLevel*expected)
+	return max(p.inFlight+firstSlots*float64(p.recent.since(p.now.Add(-age)))-ended, unreportedLevel*expected)
 }
 
 // usedBy returns the part of the slots in use that belongs to a kind.
@@ -301,6 +307,7 @@
 
 // advance updates all averages and drops what has passed.
 func (p *Pool) advance(now boottime.Instant) {
+	p.now = now
 	p.recent.advance(now)
 	for key, k := range p.kinds {
 		k.advance(now)
--- a/internal/admission/recent.go
+++ b/internal/admission/recent.go
@@ -1,20 +1,24 @@
 package admission
 
-import "cowslipgw/internal/boottime"
+import (
+	"slices"
 
-// recentCount counts what happened within the last reportLag.
-type recentCount struct {
-	times []boottime.Instant
-}
+	"cowslipgw/internal/boottime"
+)
+
+// recentTimes holds the times of what happened within the last maxReportAge, in their order.
+type recentTimes struct{ times []boottime.Instant }
 
-func (c *recentCount) add(now boottime.Instant) { c.times = append(c.times, now) }
+func (r *recentTimes) add(now boottime.Instant) { r.times = append(r.times, now) }
 
-func (c *recentCount) advance(now boottime.Instant) {
-	n := 0
-	for n < len(c.times) && now.Sub(c.times[n]) > reportLag {
-		n++
-	}
-	c.times = c.times[n:]
+// advance drops the times that are too old.
+func (r *recentTimes) advance(now boottime.Instant) {
+	n, _ := slices.BinarySearch(r.times, now.Add(-maxReportAge))
+	r.times = r.times[n:]
 }
 
-func (c *recentCount) count() int { return len(c.times) }
+// since returns the number of times after t.
+func (r *recentTimes) since(t boottime.Instant) int {
+	n, _ := slices.BinarySearch(r.times, t+1)
+	return len(r.times) - n
+}
