--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -16,7 +16,7 @@
 	// time, and that such programs and those which want to begin in time may want together.
 	spareLevel = 0.85
 	// relaxedLevel is the part of the slots in use below which no kind is held to its share.
-	relaxedLevel = 0.9
+	relaxedLevel = 0.93
 	// urgentMargin is the part of the slots that is left to more urgent programs for each step of
 	// priority, up to maxUrgentSteps.
 	urgentMargin   = 0.03
