admission: an owner sends no totals of idle services

The owner of a service sent the total of the requests in flight to all hosts five times a second, also while there were none, and in deployments without engines. It now sends one without requests once, as hosts do with their own reports. TestReportsOnlyWhileBusy failed before and passes. The sets of reported services are written once per report and no longer under a lock of their own.

Run: tests of owners, reports and messages with -race -cpu 1; TestOwnerLost/half_full_engines still fails.

--- a/internal/admission/client.go
+++ b/internal/admission/client.go
@@ -43,9 +43,9 @@
 	// shares holds the pools for decisions without the owner, by service.
 	shares     map[string]*Pool
 	reportedAt boottime.Instant
-	// reported holds the services of the last report: one without requests in flight is reported
-	// once more.
-	reported map[string]bool
+	// reported holds the services of the last report, and totalled those of the last total for all
+	// hosts: one without requests in flight is reported once more.
+	reported, totalled map[string]bool
 }
 
 // NewClient returns a client. Owner holds the pools of this host, and inFlight returns what this
@@ -126,23 +126,31 @@
 		return peers.InFlightReports{}
 	}
 	c.reportedAt = now
-	before := c.reported
-	c.reported = make(map[string]bool)
+	reportedBefore, totalledBefore := c.reported, c.totalled
 	c.mu.Unlock()
 
 	self := c.hosts.Self().ID
+	reported, totalled := make(map[string]bool), make(map[string]bool)
 	reports := peers.InFlightReports{ByHost: make(map[string][]peers.ServiceInFlight)}
 	for _, load := range c.inFlight() {
 		empty := len(load.Replicas) == 0
 		owners := c.hosts.StorelessCandidates(serviceKey(load.Service), reportReceivers)
-		if !empty || before[load.Service] {
+		if !empty || reportedBefore[load.Service] {
 			c.report(reports.ByHost, owners, load, self)
-			c.setReported(load.Service, !empty)
+			reported[load.Service] = !empty
 		}
 		if len(owners) > 0 && owners[0].ID == self {
-			reports.All = append(reports.All, c.owner.InFlight(Hash(load.Service)))
+			total := c.owner.InFlight(Hash(load.Service))
+			busy := len(total.Replicas) > 0
+			if busy || totalledBefore[load.Service] {
+				reports.All = append(reports.All, total)
+				totalled[load.Service] = busy
+			}
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reported, c.totalled = reported, totalled
 	return reports
 }
 
@@ -162,14 +170,6 @@
 	}
 }
 
-func (c *Client) setReported(service string, reported bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if reported {
-		c.reported[service] = true
-	}
-}
-
 // hashedCounts returns counts by the hash of their names.
 func hashedCounts(byName map[string]int) map[uint32]int {
 	counts := make(map[uint32]int, len(byName))
