--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -36,6 +36,9 @@
 	call := &gateway.Call{ID: h.Get("Id"), Key: h.Get("Key"), Method: r.Method, URI: r.RequestURI, Path: r.URL.Path,
 		Host: "h", Header: h, HasBody: r.Method == http.MethodPost, Program: h.Get("Program"), PreviousTurn: h.Get("Previous"), MaxTokens: 10}
 	call.Budget, _ = strconv.Atoi(h.Get("Budget"))
+	if ms, err := strconv.Atoi(h.Get("Time-Left")); err == nil {
+		call.ProgramTime, call.HasProgramTime = time.Duration(ms)*time.Millisecond, true
+	}
 	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
 		call.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -48,6 +51,9 @@
 	if a.After != "" {
 		h.Set("Last-Event-Id", a.After)
 	}
+	if a.HasPriority {
+		h.Set("Turn-Priority", strconv.Itoa(a.Priority))
+	}
 }
 
 func (codec) Answer(h http.Header) gateway.AnswerInfo {
@@ -91,6 +97,8 @@
 	routes   []*route.Route
 	accounts []*route.Account
 	limits   route.Limits
+	// engine is that of service s; nil if it has none.
+	engine *route.Engine
 }
 
 // newTableSpec returns the configuration of the test gateways.
@@ -112,7 +120,7 @@
 
 // table returns the configuration version.
 func (s *tableSpec) table() *route.Table {
-	return route.NewTable(s.version, s.routes, []*route.Service{{Name: "s"}}, s.accounts, s.limits, true)
+	return route.NewTable(s.version, s.routes, []*route.Service{{Name: "s", Engine: s.engine}}, s.accounts, s.limits, true)
 }
 
 // incarnations numbers the owners that the tests create.
@@ -181,7 +189,9 @@
 	if fleet.events != nil {
 		events = fleet.events
 	}
-	gw := &testGateway{log: log, source: &configSource{table: newTableSpec().table()}, replicas: replica.NewSet("z", events), links: &cuttableLinks{}}
+	spec := newTableSpec()
+	spec.engine = fleet.engine
+	gw := &testGateway{log: log, source: &configSource{table: spec.table()}, replicas: replica.NewSet("z", events), links: &cuttableLinks{}}
 	for n, handler := range upstreams {
 		gw.addUpstream(t, "r"+strconv.Itoa(n), handler)
 	}
@@ -196,7 +206,7 @@
 	pacer, quarantined := fleet.join(), fleet.newTable()
 	sender := relay.NewSender(fleet.lastHost(), forward.NewPoolWith(gw.links), forward.NewPool(), events)
 	go sender.Run(ctx)
-	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
+	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter), Admission: fleet.admission,
 		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: pacer, Quarantine: quarantined, Sender: sender, Turns: client, Events: events,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway, gw.config, gw.sender = g, config, sender
@@ -218,10 +228,14 @@
 type testFleet struct {
 	// events is the log of all hosts; nil discards it.
 	events *event.Logger
-	hosts  []peers.Host
-	pacers map[string]*pacing.Pacer
-	tables []*quarantine.Table
-	sets   []*replica.Set
+	// admission decides which programs begin; nil admits all. engine is that of service s; nil if
+	// it has none.
+	admission gateway.ProgramAdmission
+	engine    *route.Engine
+	hosts     []peers.Host
+	pacers    map[string]*pacing.Pacer
+	tables    []*quarantine.Table
+	sets      []*replica.Set
 	// mu guards stranded and the relays of hosts, which join while others run.
 	mu       sync.Mutex
 	stranded map[string]func() bool
