gateway: a request that is no turn gets no priority at an engine

isTimedTurn checked the engine and the time only, so that a request on any other route of the service was sent with X-Request-Priority as well. It now requires a stream. TestPriorityOnlyForTimedTurns failed before and passes.

--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipgw/internal/admission"
+	"cowslipgw/internal/route"
 )
 
 // ProgramAdmission decides whether programs may begin; see admission.Client.
@@ -15,7 +16,9 @@
 
 // isTimedTurn reports whether the request is a turn, at an engine, of a program that says when it
 // should be finished.
-func (x *exchange) isTimedTurn() bool { return x.service.Engine != nil && x.call.HasProgramTime }
+func (x *exchange) isTimedTurn() bool {
+	return x.route.Kind == route.Streaming && x.service.Engine != nil && x.call.HasProgramTime
+}
 
 // programTimeLeft returns the time until the program should be finished.
 func (x *exchange) programTimeLeft() time.Duration { return x.call.ProgramTime - time.Since(x.start) }
