gateway: the rate is decided before the turn begins again, except for timed turns

The order and the count now change for timed turns only.

TestRefusedRateWritesNothing failed before (2 appends after a refused turn) and passes. For timed turns the two writes per refused turn remain. Run: the tests of programs, budgets and refunds of internal/gateway; only TestStreamingTurnWithoutBudgetIsAsked fails, as before.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -73,8 +73,7 @@
 	if x.g.outlasts(x.deadline) {
 		return refuseStopping()
 	}
-	if x.isTurn() && !x.route.StoresTurns {
-		// Only the owner of the program knows whether this is its first turn.
+	if x.ratedAfterBegin() {
 		return nil
 	}
 	return x.admitRate(r.Context(), x.route.StoresTurns && x.call.PreviousTurn == "")
@@ -198,6 +197,13 @@
 	}
 }
 
+// ratedAfterBegin reports whether the request is charged to the client account's quota only once its
+// turn is granted: on routes that store no turns, only the owner of the program knows whether this is
+// its first turn.
+func (x *exchange) ratedAfterBegin() bool {
+	return !x.route.StoresTurns && x.isTurn() && x.isTimedTurn()
+}
+
 // admitRate charges the request to the client account's quota. StartsProgram is set for the first
 // request of a program.
 func (x *exchange) admitRate(ctx context.Context, startsProgram bool) *refusal {
@@ -233,7 +239,7 @@
 func (x *exchange) recordCost() {
 	switch {
 	case !x.admitted:
-	case x.isTurn():
+	case x.route.StoresTurns || x.ratedAfterBegin():
 		x.g.costs.RecordTurn(x.route.Name, x.startsProgram)
 	case x.call.Program != "":
 		x.g.costs.RecordRequest()
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -130,7 +130,7 @@
 // admitTurn decides whether a turn that its program's owner has granted may run. First is set for
 // the program's first turn.
 func (x *exchange) admitTurn(ctx context.Context, first bool) *refusal {
-	if !x.route.StoresTurns {
+	if x.ratedAfterBegin() {
 		if f := x.admitRate(ctx, first); f != nil {
 			return f
 		}
