admission: a running program is remembered until its deadline

The pool forgot an admitted program after three quarters of its time, so that a first turn that was sent again later was decided anew, and refused in overload. It now remembers the program until its deadline and for rememberTime after each repetition, but for two minutes at most: the time comes from the caller, and a large one kept an entry for up to 24 days.

TestRunningProgramKeepsItsPlace failed (refused 15 s into 20 s) and passes.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -28,6 +28,8 @@
 	returnGrace = 300 * time.Millisecond
 	// rememberTime is how long the pool remembers a program that it refused.
 	rememberTime = 5 * time.Second
+	// maxRememberTime limits how long it remembers one that it admitted, whatever time a caller gives.
+	maxRememberTime = 2 * time.Minute
 	// minRetryAfter keeps a refused program from returning before the next report.
 	minRetryAfter = 50 * time.Millisecond
 	// learnAfter is how long a pool must have admitted programs before it knows how many run.
@@ -85,6 +87,7 @@
 	current := sliceOf(now)
 	known := p.programs[r.Program]
 	if known != nil && known.begun {
+		known.forgetAt = max(known.forgetAt, now.Add(rememberTime))
 		return p.decision(Admitted, 0, current)
 	}
 	pl := p.place(now, r, known)
@@ -93,7 +96,7 @@
 	if start, ok := p.fit(pl, current, pl.latest, n); ok {
 		p.reserve(pl, start, n)
 		if start == current {
-			pl.begun, pl.forgetAt = true, now.Add(max(pl.duration, rememberTime))
+			pl.begin(now)
 			return p.decision(Admitted, 0, current)
 		}
 		return p.decision(NoCapacity, time.Duration(start-current)*slice, current)
@@ -155,7 +158,7 @@
 		p.routes[routeKey] = route
 	}
 	duration := max(time.Duration(runningFraction*float64(r.TimeLeft)), 0)
-	pl := &place{kind: k, route: route, slots: route.slots(), duration: duration,
+	pl := &place{kind: k, route: route, slots: route.slots(), duration: duration, deadline: now.Add(r.TimeLeft),
 		latest: sliceOf(now.Add(r.TimeLeft - duration)), forgetAt: now.Add(rememberTime)}
 	k.want(now, pl.slots, duration)
 	p.programs[r.Program] = pl
@@ -253,7 +256,7 @@
 		}
 		if at == current {
 			p.reserve(pl, current, n)
-			pl.begun, pl.forgetAt = true, now.Add(max(pl.duration, rememberTime))
+			pl.begin(now)
 			return p.decision(Admitted, 0, current)
 		}
 		p.late.add(at, at+1, pl.slots)
