--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -19,7 +19,6 @@
 	testReportInterval = 200 * time.Millisecond
 	// maxReturns is how often a caller comes back after a refusal.
 	maxReturns = 3
-	// minSteps and maxSteps limit the number of steps of a program that follow each other; two
 	// minSteps and maxSteps limit the number of steps of a program, which follow each other. One in
 	// doubleStep steps consists of two turns at the same time.
 	minSteps   = 3
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -45,6 +45,8 @@
 	returnGrace = 300 * time.Millisecond
 	// rememberTime is how long the pool remembers a program that it refused.
 	rememberTime = 5 * time.Second
+	// maxRememberTime limits how long it remembers one that it admitted, whatever time a caller gives.
+	maxRememberTime = 2 * time.Minute
 	// minRetryAfter keeps a refused program from returning before the next report.
 	minRetryAfter = 50 * time.Millisecond
 	// slice is the interval of maintenance, and the resolution of the recent admissions.
@@ -153,9 +155,7 @@
 		}
 		p.programs[r.Program] = pl
 	}
-	if !pl.begun {
-		pl.forgetAt = now.Add(rememberTime)
-	}
+	pl.forgetAt = max(pl.forgetAt, now.Add(rememberTime))
 	return pl
 }
 
@@ -177,7 +177,7 @@
 
 // begin admits a program as one of a kind.
 func (p *Pool) begin(now boottime.Instant, pl *place, k *kind) Decision {
-	pl.begun, pl.promisedAt, pl.forgetAt = true, 0, now.Add(pl.time+rememberTime)
+	pl.begun, pl.promisedAt, pl.forgetAt = true, 0, now.Add(min(pl.time+rememberTime, maxRememberTime))
 	k.begin(pl)
 	if !p.incomplete {
 		k.demand.times += pl.time.Seconds()
