--- a/internal/admission/client.go
+++ b/internal/admission/client.go
@@ -110,7 +110,8 @@
 	}
 	pool.SetSlots(slots)
 	now := boottime.Now()
-	pool.Observe(now, routes)
+	// A program that has just been admitted has no request in flight yet.
+	pool.Observe(now.Add(-slice), routes)
 	return pool.Admit(now, r)
 }
 
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -19,7 +19,7 @@
 	relaxedLevel = 0.93
 	// urgentMargin is the part of the slots that is left to more urgent programs for each step of
 	// priority, up to maxUrgentSteps.
-	urgentMargin   = 0.03
+	urgentMargin   = 0.015
 	maxUrgentSteps = 2
 	// guaranteedPart is the part of its proportional share that each kind gets, however many urgent
 	// programs there are.
@@ -247,10 +247,11 @@
 			ended += k.expected * min(age.Seconds()/k.duration().Seconds(), 1)
 		}
 	}
+	level := unreportedLevel
 	if p.incomplete {
-		return incompleteLevel * expected
+		level = incompleteLevel
 	}
-	return max(p.inFlight+firstSlots*float64(p.recent.since(p.now.Add(-age)))-ended, unreportedLevel*expected)
+	return max(p.inFlight+firstSlots*float64(p.recent.since(p.now.Add(-age)))-ended, level*expected)
 }
 
 // usedBy returns the part of the slots in use that belongs to a kind.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -24,10 +24,10 @@
 	Admitted Reason = iota
 	// NoCapacity: a place is kept for the program after Decision.RetryAfter.
 	NoCapacity
-	// Overloaded: there is no place for the program within its time.
-	Overloaded
 	// TooLate: the program cannot end in time, and there is no spare capacity for it.
 	TooLate
+	// Overloaded: there is no place for the program within its time.
+	Overloaded
 )
 
 // String returns the value of the metric label and log field.
