evacuation: hosts stop sending to evacuated failure domains

Cause: an operator's record evacuate/DOMAIN had no effect, and the reader of the operator's records read only the first page of the newest ones.

Change: the reader of the configuration reads all pages and all records, and folds the evacuations. replica.Set passes over replicas in an evacuated domain in feasible. Right before the first byte is written, forward calls MaySend, which checks the domain again and that the evacuations were confirmed within bounds.evacuation_ms less 400 ms; otherwise the host reads the store and asks other hosts (new call Evacuation.Report; earlier builds answer that they do not know it). A host without the store and without a majority of hosts sends nothing after that time. A resumable stream whose replica gets no requests is continued at another one if the route has attempts left.

Fixtures: platformtest replicas have a failure domain, the gateway tests' links a hook at the next connection, their fleet a source of confirmations. No existing check was changed.

Measured: the new tests pass, TestEvacuationReachesAllHosts with three processes, one of them cut off from the store and one paused, in 6.7 s. Without the check before sending, or without the one in feasible, tests of gateway fail. internal/gateway, relay, forward, replica, platform and event pass. internal/peers fails in TestSlowCallOutlastsShortDeadline only (KNOWN-RED).

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowslipgw/internal/admission"
+	"cowslipgw/internal/evacuation"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/gateway"
@@ -85,14 +86,17 @@
 	pacer      *pacing.Pacer
 	quarantine *quarantine.Table
 	config     *gateway.ConfigWatcher
-	discovery  *gateway.Discovery
-	replicas   *replica.Set
-	pool       *forward.Pool
-	hostPool   *forward.Pool
-	sender     *relay.Sender
-	gateway    *gateway.Gateway
-	peerServer *peers.Server
-	turns      *turns.Service
+	// evacuations is what the host knows of evacuated failure domains, and follower confirms it.
+	evacuations *evacuation.Knowledge
+	follower    *evacuation.Follower
+	discovery   *gateway.Discovery
+	replicas    *replica.Set
+	pool        *forward.Pool
+	hostPool    *forward.Pool
+	sender      *relay.Sender
+	gateway     *gateway.Gateway
+	peerServer  *peers.Server
+	turns       *turns.Service
 }
 
 // endpoint is an HTTP server and its listen address.
@@ -135,15 +139,18 @@
 	p.beacon.SetInFlight(admissionClient.Reports)
 	p.replicas.OnLimit(p.announceLimit)
 	p.replicas.OnLeaving(p.announceLeaving)
-	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
-		limiter.Configure, events)
+	p.evacuations = evacuation.NewKnowledge(s.EvacuationBound, p.replicas.SetEvacuated)
+	configReader := platform.NewConfigReader(store, s.AccountsEnabled, events)
+	configReader.FollowEvacuations(s, p.evacuations.LearnRead)
+	p.config = gateway.NewConfigWatcher(configReader, s.KeyFreshness, p.table.Known, limiter.Configure, events)
+	p.follower = evacuation.NewFollower(p.evacuations, p.table, peerCaller, p.config, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), p.replicas, p.table.Known)
 	p.pool, p.hostPool = forward.NewPool(), forward.NewPoolWith(peers.NewDialer(p.table.Self()))
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Admission: admissionClient,
-		Replicas:  p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
+		Admission: admissionClient, Evacuations: p.follower,
+		Replicas: p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
 		Quarantine: p.quarantine, Events: events, MemoryBytes: int64(requestMemoryShare * float64(s.MemoryMB) * (1 << 20)),
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
@@ -175,7 +182,7 @@
 	listeners := []endpoint{
 		{frontend, p.settings.Frontend},
 		{&http.Server{Handler: platform.NewReadiness(p.ready), ReadHeaderTimeout: headerTimeout}, p.settings.Readiness},
-		{&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
+		{&http.Server{Handler: metricsHandler(p.replicas), ReadHeaderTimeout: headerTimeout},
 			net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+metricsPort))},
 		{relays, p.table.Self().Relay},
 	}
@@ -223,6 +230,7 @@
 	go p.beacon.Run(ctx)
 	go p.registry.Run(ctx)
 	go p.config.Run(ctx)
+	go p.follower.Run(ctx)
 	go p.discovery.Run(ctx)
 	go p.owner.Sweep(ctx, p.client.Owns)
 	go p.sender.Run(ctx)
@@ -290,6 +298,9 @@
 	if err := server.RegisterName(admission.ServiceName, admission.NewService(p.admission, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
+	if err := server.RegisterName(evacuation.ServiceName, evacuation.NewService(p.evacuations, p.events)); err != nil {
+		return oops.Wrapf(err, "register RPC service")
+	}
 	listener, err := net.Listen("tcp", p.table.Self().Addr)
 	if err != nil {
 		return oops.Wrapf(err, "listen for peer calls")
@@ -321,8 +332,11 @@
 }
 
 // metricsHandler serves the metrics in the Prometheus text format.
-func metricsHandler() http.Handler {
+func metricsHandler(replicas *replica.Set) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+		writeEvacuations(w, replicas.Evacuations())
+	})
 	return mux
 }
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -6,6 +6,9 @@
 var (
 	// ErrUnreachable means that no connection could be opened and nothing was sent.
 	ErrUnreachable = errors.New("replica unreachable")
+	// ErrWithheld means that nothing was sent because the request may no longer be sent to the
+	// replica.
+	ErrWithheld = errors.New("replica gets no requests")
 	// ErrBroken means that the connection failed after the request, or a part of it, was
 	// sent. The replica may have run the request.
 	ErrBroken = errors.New("connection to replica broke")
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -24,6 +24,17 @@
 	// Addr and Instance identify the replica.
 	Addr     string
 	Instance string
+	// MaySend is called right before the first byte is written. If it returns an error, nothing is
+	// sent. It is nil if nothing is to be checked.
+	MaySend func() error
+}
+
+// checkSend calls MaySend.
+func (r *Request) checkSend() error {
+	if r.MaySend == nil {
+		return nil
+	}
+	return r.MaySend()
 }
 
 // bodySize returns the total length of the body.
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -27,6 +27,10 @@
 	if err != nil {
 		return nil, oops.With("cause", err.Error()).Wrap(ErrUnreachable)
 	}
+	if err := r.checkSend(); err != nil {
+		c.Close()
+		return nil, oops.With("cause", err.Error()).Wrap(ErrWithheld)
+	}
 	p.begin(r, c)
 	stopWatch := closeOnDone(ctx, c)
 	written := make(chan error, 1)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,6 +70,9 @@
 		if time.Until(x.deadline) < minAttemptTime {
 			return nil, context.DeadlineExceeded
 		}
+		if !x.g.confirmEvacuations(ctx) {
+			return nil, errUnconfirmed
+		}
 		lease, err := x.takeNext(ctx, q)
 		if err != nil {
 			if errors.Is(err, errNoReplica) {
@@ -93,6 +96,9 @@
 		x.g.events.Log(event.AttemptFailed, event.Fields{"request": x.call.ID, "replica": x.replica,
 			"ms": time.Since(x.start).Milliseconds(), "error": err.Error()})
 		switch {
+		case errors.Is(err, forward.ErrWithheld):
+			refusals++
+			delete(x.tried, x.replica) // nothing was sent, and another check may allow it
 		case errors.Is(err, errRefused), errors.Is(err, forward.ErrUnreachable):
 			refusals++
 		default:
@@ -117,7 +123,7 @@
 	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after,
 		Priority: priority, HasPriority: hasPriority})
 	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline,
-		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header,
+		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header, MaySend: x.g.maySend(record),
 			Repeatable: x.route.Kind == route.Safe || x.route.Resumable,
 			Body:       body, HasBody: x.call.HasBody}}
 	answer, through, err := x.g.sender.Send(attemptCtx, request, x.g.answersTo(x.call.ID))
@@ -135,6 +141,8 @@
 		case x.next != nil:
 			lease.Done(replica.Abandoned, 1)
 			return nil, errFirstByteTimeout
+		case errors.Is(err, forward.ErrWithheld):
+			lease.Done(replica.NotSent, 1)
 		case errors.Is(err, forward.ErrUnreachable):
 			lease.Done(replica.Unreachable, 1)
 			x.g.crashes.unreachable(record)
@@ -233,7 +241,7 @@
 	if errors.As(err, &limited) {
 		return limited.Error()
 	}
-	for _, known := range []error{errNoReplica, errRefused, errFirstByteTimeout, forward.ErrUnreachable, forward.ErrBroken,
+	for _, known := range []error{errNoReplica, errRefused, errFirstByteTimeout, errUnconfirmed, forward.ErrWithheld, forward.ErrUnreachable, forward.ErrBroken,
 		forward.ErrInvalidAnswer, context.DeadlineExceeded, context.Canceled} {
 		if errors.Is(err, known) {
 			return known.Error()
--- a/internal/gateway/cuttable_links_test.go
+++ b/internal/gateway/cuttable_links_test.go
@@ -31,6 +31,8 @@
 	droppedDials atomic.Int32
 	// dials is the number of connections that were begun.
 	dials atomic.Int32
+	// onDial is called before the next connection is opened; nil for none.
+	onDial atomic.Pointer[func()]
 }
 
 // dropDials loses the opening packets of the next n connections.
@@ -43,6 +45,9 @@
 // DialContext implements forward.Dialer.
 func (l *cuttableLinks) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	l.dials.Add(1)
+	if f := l.onDial.Swap(nil); f != nil {
+		(*f)()
+	}
 	switch {
 	case l.is(refusingCut):
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -197,7 +197,7 @@
 	sender := relay.NewSender(fleet.lastHost(), forward.NewPoolWith(gw.links), forward.NewPool(), events)
 	go sender.Run(ctx)
 	g := gateway.New(gateway.Dependencies{Codec: codec{}, Config: config, Quota: quota.NewClient(singleHost{}, nil, limiter),
-		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: pacer, Quarantine: quarantined, Sender: sender, Turns: client, Events: events,
+		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: pacer, Quarantine: quarantined, Sender: sender, Turns: client, Events: events, Evacuations: fleet.evacuations,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway, gw.config, gw.sender = g, config, sender
 	fleet.joinReplicas(gw.replicas)
@@ -218,10 +218,12 @@
 type testFleet struct {
 	// events is the log of all hosts; nil discards it.
 	events *event.Logger
-	hosts  []peers.Host
-	pacers map[string]*pacing.Pacer
-	tables []*quarantine.Table
-	sets   []*replica.Set
+	// evacuations confirms the evacuations for all hosts; nil if none is needed.
+	evacuations gateway.Evacuations
+	hosts       []peers.Host
+	pacers      map[string]*pacing.Pacer
+	tables      []*quarantine.Table
+	sets        []*replica.Set
 	// mu guards stranded and the relays of hosts, which join while others run.
 	mu       sync.Mutex
 	stranded map[string]func() bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,8 +37,10 @@
 	replicas  *replica.Set
 	pacing    *pacing.Client
 	sender    *relay.Sender
-	turns     Turns
-	events    *event.Logger
+	// evacuations is nil if requests never wait for a confirmation.
+	evacuations Evacuations
+	turns       Turns
+	events      *event.Logger
 	// memory limits the long bodies and histories of the requests in progress.
 	memory *memoryBudget
 	// quarantine holds the requests that crash replicas, which crashes detects.
@@ -67,7 +69,9 @@
 	Replicas  *replica.Set
 	Pacing    *pacing.Client
 	Sender    *relay.Sender
-	Turns     Turns
+	// Evacuations tells whether requests may be sent; nil if they never wait for a confirmation.
+	Evacuations Evacuations
+	Turns       Turns
 	// MemoryBytes limits the total size of the long bodies and histories of the requests in
 	// progress; 0 means a default.
 	MemoryBytes int64
@@ -82,7 +86,8 @@
 func New(deps Dependencies) *Gateway {
 	stopped, giveUp := context.WithCancel(context.Background())
 	return &Gateway{stopped: stopped, giveUp: giveUp, codec: deps.Codec, config: deps.Config, quota: deps.Quota,
-		costs: deps.Costs, admission: deps.Admission, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
+		costs: deps.Costs, admission: deps.Admission, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender,
+		evacuations: deps.Evacuations, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
 		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -55,7 +55,9 @@
 		return
 	}
 	operation.identify(received.ID)
+	confirmed := g.confirmEvacuations(r.Context())
 	record, ok := g.replicas.Usable(received.Replica, received.Incarnation)
+	ok = ok && confirmed
 	switch {
 	case !ok || g.sender.LinkLost(record):
 		g.events.Log(event.RelayDeclined, event.Fields{"request": received.ID, "replica": received.Replica})
@@ -96,7 +98,7 @@
 	header := EndToEnd(r.Header)
 	relay.RemoveHeaders(header)
 	request := &relay.Request{ID: received.ID, Replica: record, Deadline: time.Now().Add(remaining),
-		Request: forward.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header,
+		Request: forward.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header, MaySend: g.maySend(record),
 			Body: [][]byte{body}, HasBody: r.Header.Get("Content-Length") != ""}}
 	answer, outcome := g.sender.SendFor(ctx, request, g.answersTo(received.ID))
 	if outcome != relay.Answered {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -48,12 +48,22 @@
 	x.after = after
 	previous := x.replica
 	q.Only = previous
+	if !x.g.confirmEvacuations(ctx) {
+		return nil, errNotResumable
+	}
+	var a *attempt
 	lease, err := x.acquire(ctx, q)
-	if err != nil {
+	switch {
+	case err == nil:
+		a, err = x.try(ctx, lease, body, q)
+	case errors.Is(err, errNoReplica) && x.mayTryAnother():
+		// The replica is evacuated or gone. Another one may continue if the route has attempts left.
+		q.Only = ""
+		a, err = x.dispatch(ctx, body, q)
+	default:
 		return nil, errNotResumable
 	}
-	a, err := x.try(ctx, lease, body, q)
-	if errors.Is(err, forward.ErrUnreachable) && x.mayTryAnother() {
+	if errors.Is(err, forward.ErrUnreachable) && q.Only != "" && x.mayTryAnother() {
 		x.attempts = max(x.attempts-1, 0)
 		q.Only = ""
 		a, err = x.dispatch(ctx, body, q)
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -31,6 +31,8 @@
 	switch {
 	case err == nil:
 		return Answered
+	case errors.Is(err, forward.ErrWithheld):
+		return Declined
 	case errors.Is(err, forward.ErrInvalidAnswer):
 		return Invalid
 	default:
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -133,7 +133,7 @@
 
 // feasible reports whether the attempt may be sent to a replica.
 func (s *Set) feasible(r *Replica, q Query, now time.Time) bool {
-	if !r.removeAt.IsZero() && now.After(r.removeAt) {
+	if (!r.removeAt.IsZero() && now.After(r.removeAt)) || s.isEvacuatedLocked(r.record) {
 		return false
 	}
 	if q.Only != "" {
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -27,13 +27,16 @@
 	sizes map[string]*sizes
 	// leaving holds the incarnations that are about to end.
 	leaving map[Incarnation]*leavingState
+	// evacuated holds the failure domains whose replicas get no requests.
+	evacuated map[string]*evacuatedDomain
 }
 
 // NewSet returns an empty set for a host in the given failure domain.
 func NewSet(domain string, events *event.Logger) *Set {
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
 		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
-		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes), leaving: make(map[Incarnation]*leavingState)}
+		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes), leaving: make(map[Incarnation]*leavingState),
+		evacuated: make(map[string]*evacuatedDomain)}
 }
 
 // Put adds a replica or updates its record. A record of another incarnation, address or
@@ -133,6 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweepLeavingLocked(boottime.Now())
+	s.sweepEvacuatedLocked(boottime.Now())
 	now := time.Now()
 	changed := false
 	for id, r := range s.byID {
