platform, replica: reports of the load with a pace are read

Some services add a fourth figure to the load header: how long work takes on the machine at this moment, 100 being the usual. Reports with four figures were dropped, and with them the load. It changes many times a second while one host sees a replica once in several seconds, so the average counts most, and the last report only while it is new. The pace takes the place of the slowness learned from latency where it is the longer one.

--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -146,9 +146,9 @@
 func (s *Set) score(r *Replica, q Query, now time.Time) float64 {
 	slots := float64(max(r.record.Slots, 1))
 	load := r.estimatedLoad(now)
-	score := r.currentSlowness(now)
+	score := r.currentPace(now)
 	score += fullCost * min(load/slots, 1) * min(load/slots, 1)
-	score += queueCost * max(load+1-slots, 0) / slots * r.currentSlowness(now)
+	score += queueCost * max(load+1-slots, 0) / slots * r.currentPace(now)
 	if r.record.Domain != s.domain {
 		score += crossDomainCost
 	}
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -62,8 +62,9 @@
 func (l *Lease) Load(load Load) {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
-	r := l.replica
-	r.reported, r.reportedInflight, r.reportedAt = load, r.inflight, time.Now()
+	r, now := l.replica, time.Now()
+	r.reported, r.reportedInflight, r.reportedAt = load, r.inflight, now
+	r.pace.observe(load.Pace, now)
 }
 
 // Done ends the lease. The latency of the attempt is divided by units, the number of
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -7,6 +7,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at the replica at this moment, as a multiple of the usual
+	// time; 0 if the replica does not report it.
+	Pace float64
 }
 
 // loadMaxAge is the age at which a reported load is ignored. Requests take about 10 to
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -39,6 +39,7 @@
 	reported         Load
 	reportedInflight int
 	reportedAt       time.Time
+	pace             pace
 	slowness         float64
 	slownessAt       time.Time
 	failureRate      float64
@@ -81,6 +82,12 @@
 	return 1 + (r.slowness-1)/decay
 }
 
+// currentPace returns how long work takes at the replica, as a multiple of the usual time: what
+// the replica reports, or what its latency shows if that is longer.
+func (r *Replica) currentPace(now time.Time) float64 {
+	return max(r.pace.current(now), r.currentSlowness(now))
+}
+
 // longestFirstByteWait returns the longest time for which an attempt in flight has waited
 // for its first byte.
 func (r *Replica) longestFirstByteWait(now time.Time) time.Duration {
