replica: the totals of the fleet are the view of a replica's load

A host knew of a replica's load its own attempts and, for 300 ms after an answer, the load header, which it sees of one replica once in several seconds. The totals that the owner of a service sends five times a second are used now: less this host's own attempts as of its last report, plus those in flight now. What is known of a replica counts less with age, and the mean of all replicas takes its place within 300 ms, since turns of 0.1 to 0.4 s have ended by then. The header counts in the same way while it is newer. The owner passes its totals to itself, since messages to all hosts do not reach their sender.

80 hosts with the same view must not all choose the same replica. A random term of the size of 0.8 requests, with which replicas are in effect drawn with weights by load, spreads them, and the cost of a queue rises smoothly because the load is uncertain.

--- a/cmd/cowslipgw/gateway_notices.go
+++ b/cmd/cowslipgw/gateway_notices.go
@@ -20,6 +20,7 @@
 func (p *gatewayProcess) receive(b peers.Heartbeat) {
 	p.limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
 	p.admission.ApplyReport(b.Host.ID, b.InFlight)
+	p.learnFleetInFlight(b.FleetInFlight)
 	for _, limit := range b.Limits {
 		p.replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
 	}
@@ -27,6 +28,20 @@
 	p.quarantine.Receive(b.Host.ID, b.Notice)
 }
 
+// learnFleetInFlight passes what the owners of services report on the load of replicas to the choice
+// of replicas.
+func (p *gatewayProcess) learnFleetInFlight(totals []peers.ServiceInFlight) {
+	for _, t := range totals {
+		p.replicas.LearnFleetInFlight(t.Service, t.Replicas)
+	}
+}
+
+// inFlightReports returns what this host reports. Messages to all hosts do not reach their sender.
+func (p *gatewayProcess) inFlightReports(reports peers.InFlightReports) peers.InFlightReports {
+	p.learnFleetInFlight(reports.All)
+	return reports
+}
+
 // announceLimit tells all other hosts the rate of requests that a replica accepts.
 func (p *gatewayProcess) announceLimit(r replica.Record, perSecond float64) {
 	p.beacon.Broadcast(peers.Notice{Limits: []peers.ReplicaLimit{{Replica: r.ID, Incarnation: r.Born, PerSecond: perSecond}}})
--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.beacon.SetInFlight(admissionClient.Reports)
+	p.beacon.SetInFlight(func() peers.InFlightReports { return p.inFlightReports(admissionClient.Reports()) })
 	p.replicas.OnLimit(p.announceLimit)
 	p.replicas.OnLeaving(p.announceLeaving)
 	p.config = gateway.NewConfigWatcher(platform.NewConfigReader(store, s.AccountsEnabled, events), s.KeyFreshness, p.table.Known,
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -32,9 +33,16 @@
 	maxPreferredFailureRate = 0.1
 	// warmupCost is the cost of a replica that has just started and is still slow.
 	warmupCost = 0.5
-	// jitter is the size of the random term that spreads hosts with the same view over
-	// replicas with equal scores.
+	// jitter is the size of the random term that spreads requests over replicas with equal
+	// scores.
 	jitter = 0.05
+	// loadDeviation is the usual deviation of the load of a replica from the estimate, in
+	// requests.
+	loadDeviation = 2
+	// spread is the size of the random term, in requests, that spreads hosts with the same view of
+	// busy replicas. Without it, a replica that looks idle for 0.2 to 0.4 s gets the requests
+	// of all hosts in that time; see TestStaleViewsDoNotHerd.
+	spread = 0.8
 )
 
 // Query describes the replica that an attempt needs.
@@ -82,6 +90,7 @@
 	var bestRank rank
 	var bestScore float64
 	limited, accepting := 0, 0
+	othersMean := s.othersMeanLocked(q.Service, now)
 	for _, r := range s.services[q.Service] {
 		if !s.feasible(r, q, now) {
 			continue
@@ -97,7 +106,7 @@
 			continue
 		}
 		rank := r.rank(tooSmall, now)
-		score := s.score(r, q, now)
+		score := s.score(r, q, othersMean, now)
 		if q.Paused {
 			score = r.limit.pausedUntil.Sub(now).Seconds()
 		}
@@ -143,12 +152,12 @@
 }
 
 // score estimates the latency of the attempt at a replica as a multiple of the baseline.
-func (s *Set) score(r *Replica, q Query, now time.Time) float64 {
+func (s *Set) score(r *Replica, q Query, othersMean float64, now time.Time) float64 {
 	slots := float64(max(r.record.Slots, 1))
-	load := r.estimatedLoad(now)
+	load := r.estimatedLoad(othersMean, now)
 	score := r.currentPace(now)
 	score += fullCost * min(load/slots, 1) * min(load/slots, 1)
-	score += queueCost * max(load+1-slots, 0) / slots * r.currentPace(now)
+	score += queueCost * (expectedExcess(load+1-slots) + spreading(othersMean/slots)) / slots * r.currentPace(now)
 	if r.record.Domain != s.domain {
 		score += crossDomainCost
 	}
@@ -166,3 +175,19 @@
 	}
 	return score + jitter*rand.Float64()
 }
+
+// expectedExcess returns the expected number of requests without a slot if the estimated number,
+// less the slots, is excess.
+func expectedExcess(excess float64) float64 {
+	return (excess + math.Sqrt(excess*excess+4*loadDeviation*loadDeviation)) / 2
+}
+
+// spreading returns the random term, in requests, for replicas of which other hosts use a share. The
+// lowest of several sums with such terms is drawn with weights that fall exponentially with the
+// other summand. There is none where other hosts do not send requests.
+func spreading(share float64) float64 {
+	if share <= 0 {
+		return 0
+	}
+	return spread * min(share, 1) * math.Log(rand.ExpFloat64())
+}
--- a/internal/replica/inflight.go
+++ b/internal/replica/inflight.go
@@ -23,7 +23,11 @@
 	return uint32(xxhash.Sum64String(i.ID + "\x00" + strconv.FormatInt(i.Born, 10)))
 }
 
-// InFlight returns what this host has in flight at each service.
+// NameHash returns the hash of the name of a service or route for reports between hosts.
+func NameHash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// InFlight returns what this host has in flight at each service, for a report to the owners of the
+// services. The totals that they send are taken to contain it.
 func (s *Set) InFlight() []ServiceLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -31,6 +35,7 @@
 	for service, replicas := range s.services {
 		load := ServiceLoad{Service: service, Classes: make(map[string]int), Replicas: make(map[Incarnation]int)}
 		for _, r := range replicas {
+			r.reportedInflight = r.inflight
 			if r.inflight > 0 {
 				load.Replicas[r.record.Incarnation()] = r.inflight
 			}
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -63,7 +63,7 @@
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	r, now := l.replica, time.Now()
-	r.reported, r.reportedInflight, r.reportedAt = load, r.inflight, now
+	r.others, r.othersAt = float64(max(load.Running+load.Waiting-r.inflight, 0)), now
 	r.pace.observe(load.Pace, now)
 }
 
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -1,7 +1,5 @@
 package replica
 
-import "time"
-
 // Load is the load that a replica reports with an answer.
 type Load struct {
 	Running int
@@ -11,7 +9,3 @@
 	// time; 0 if the replica does not report it.
 	Pace float64
 }
-
-// loadMaxAge is the age at which a reported load is ignored. Requests take about 10 to
-// 200 ms, so an older report no longer describes the replica.
-const loadMaxAge = 300 * time.Millisecond
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -34,11 +34,13 @@
 	// awaitingFirstByte holds those of them without a first byte.
 	inflight          int
 	awaitingFirstByte map[*Lease]struct{}
-	// reported is the load reported with the last answer, and reportedInflight the number
-	// of this host's attempts that it includes.
-	reported         Load
+	// others is the number of requests of other hosts at the replica at the time othersAt.
+	others   float64
+	othersAt time.Time
+	// reportedInflight is the number of this host's attempts in its last report to the
+	// service's owner, and hash identifies the replica in such reports.
 	reportedInflight int
-	reportedAt       time.Time
+	hash             uint32
 	pace             pace
 	slowness         float64
 	slownessAt       time.Time
@@ -58,18 +60,7 @@
 }
 
 func newReplica(record Record) *Replica {
-	return &Replica{record: record, awaitingFirstByte: make(map[*Lease]struct{}), slowness: 1}
-}
-
-// estimatedLoad returns the estimated number of requests at the replica: this host's own
-// attempts, and those of other hosts by the last report, which loses weight with age.
-func (r *Replica) estimatedLoad(now time.Time) float64 {
-	load := float64(r.inflight)
-	if age := now.Sub(r.reportedAt); age < loadMaxAge {
-		others := float64(r.reported.Running+r.reported.Waiting-r.reportedInflight) * (1 - float64(age)/float64(loadMaxAge))
-		load += max(others, 0)
-	}
-	return load
+	return &Replica{record: record, hash: record.Incarnation().Hash(), awaitingFirstByte: make(map[*Lease]struct{}), slowness: 1}
 }
 
 // currentSlowness returns the replica's latency as a multiple of the baseline, decayed
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -25,6 +25,8 @@
 	classes map[serviceClass]int
 	// sizes holds the sizes of requests by service.
 	sizes map[string]*sizes
+	// fleet holds the load of services that their owners report.
+	fleet map[string]fleetLoad
 	// leaving holds the incarnations that are about to end.
 	leaving map[Incarnation]*leavingState
 }
@@ -33,7 +35,8 @@
 func NewSet(domain string, events *event.Logger) *Set {
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
 		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
-		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes), leaving: make(map[Incarnation]*leavingState)}
+		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes),
+		fleet: make(map[string]fleetLoad), leaving: make(map[Incarnation]*leavingState)}
 }
 
 // Put adds a replica or updates its record. A record of another incarnation, address or
