--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.beacon.SetInFlight(admissionClient.Reports)
+	p.beacon.SetInFlight(func() peers.InFlightReports { return p.inFlightReports(admissionClient.Reports()) })
 	p.replicas.OnLimit(p.announceLimit)
 	p.replicas.OnLeaving(p.announceLeaving)
 	p.evacuations = evacuation.NewKnowledge(s.EvacuationBound, p.replicas.SetEvacuated)
