peers: a call in flight does not count as unanswered

Cause: a call whose short limit expired closed the shared connection if no call had been answered for 200 ms, and a call still in flight counted for this. Beside one slow call a limit of 20 ms was enough: the slow call failed, and the host was suspected and lost its partitions.

Change: only the waiting time of calls that ended without an answer counts, up to their deadlines: a process short of processor time learns of an expired deadline late. Consecutive calls count as one period, as before, which ends with an answer or after one second without such a call.

--- a/internal/peers/caller.go
+++ b/internal/peers/caller.go
@@ -19,8 +19,8 @@
 // milliseconds for an answer.
 const unresponsiveAfter = 200 * time.Millisecond
 
-// maxUnansweredAge is the age after which earlier unanswered calls no longer count against
-// a connection that was idle.
+// maxUnansweredAge is the time from the end of an unanswered call to the start of another one
+// after which the first no longer counts against the connection.
 const maxUnansweredAge = time.Second
 
 // Caller calls other hosts with net/rpc over one persistent connection to each. It closes
@@ -38,10 +38,13 @@
 type link struct {
 	mu     sync.Mutex
 	client *rpc.Client
-	// inFlight is the number of calls in flight. unansweredSince is the time since which
-	// no call has been answered.
-	inFlight        int
-	unansweredSince time.Time
+	// lastAnswer is the time of the last answer on the connection.
+	lastAnswer time.Time
+	// unansweredSince is the time from which calls that ended without an answer have waited,
+	// if no call has been answered since; zero if there is no such call. lastUnanswered is the
+	// time at which the last of them ended. A call in flight does not count until it ends: it
+	// may take long at a host that works.
+	unansweredSince, lastUnanswered time.Time
 }
 
 // NewCaller returns a caller that marks hosts in table as suspect when calls to them fail.
@@ -66,20 +69,21 @@
 		c.table.Suspect(h.ID)
 		return oops.With("host", h.ID).Wrapf(err, "connect to host")
 	}
-	l.begin()
+	start := time.Now()
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		_, refused := call.Error.(rpc.ServerError)
 		answered := call.Error == nil || refused
-		l.end(answered)
-		if !answered {
+		if answered {
+			l.recordAnswer()
+		} else {
 			l.drop(client)
 			c.table.Suspect(h.ID)
 		}
 		return call.Error
 	case <-ctx.Done():
-		if l.end(false) && ctx.Err() == context.DeadlineExceeded {
+		if l.recordUnanswered(start, endOf(ctx)) && ctx.Err() == context.DeadlineExceeded {
 			l.drop(client)
 			c.table.Suspect(h.ID)
 		}
@@ -87,34 +91,40 @@
 	}
 }
 
-// begin records the start of a call.
-func (l *link) begin() {
+// recordAnswer records that a call was answered.
+func (l *link) recordAnswer() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lastAnswer = time.Now()
+	l.unansweredSince = time.Time{}
+}
+
+// endOf returns when ctx ended. A process that was paused or short of processor time may learn of
+// an expired deadline late; the delay says nothing about the other host.
+func endOf(ctx context.Context) time.Time {
 	now := time.Now()
-	// Calls that stayed unanswered long before this one do not count: their answers may
-	// have arrived late.
-	if l.inFlight == 0 && now.Sub(l.unansweredSince) > maxUnansweredAge {
-		l.unansweredSince = now
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(now) {
+		return deadline
 	}
-	l.inFlight++
+	return now
 }
 
-// end records the end of a call. It reports whether no call has been answered for so long
-// that the connection counts as unresponsive. Consecutive calls without an answer count as
-// one period.
-func (l *link) end(answered bool) (unresponsive bool) {
+// recordUnanswered records a call that began at start and had no answer at end. It reports
+// whether such calls have waited for so long that the connection counts as unresponsive.
+// Consecutive calls without an answer count as one period.
+func (l *link) recordUnanswered(start, end time.Time) (unresponsive bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.inFlight--
-	if answered {
-		l.unansweredSince = time.Time{}
-		if l.inFlight > 0 {
-			l.unansweredSince = time.Now()
-		}
-		return false
+	if start.Before(l.lastAnswer) {
+		start = l.lastAnswer
+	}
+	// The answers to calls that ended long ago may have arrived late.
+	isOld := start.Sub(l.lastUnanswered) > maxUnansweredAge
+	if l.unansweredSince.IsZero() || isOld || start.Before(l.unansweredSince) {
+		l.unansweredSince = start
 	}
-	return time.Since(l.unansweredSince) >= unresponsiveAfter
+	l.lastUnanswered = end
+	return end.Sub(l.unansweredSince) >= unresponsiveAfter
 }
 
 // connect returns the open connection, or opens one.
