--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -47,6 +47,8 @@
 	contents   *contentCache
 	// held is the total size of the contents of pending changes, in bytes.
 	held atomic.Int64
+	// stopping is set when the host drains; changes are then written at once.
+	stopping atomic.Bool
 	// loadSlots holds one token for each load in progress.
 	loadSlots chan struct{}
 }
@@ -91,6 +93,13 @@
 		time.Sleep(settlementPoll)
 		reply, history, c = o.decide(p, args)
 	}
+	if reply.Outcome == Exhausted && p.awaitsSettlement(args) {
+		// The settlement may have been stored by the former owner of the partition.
+		if o.sync(ctx, p) != nil {
+			return BeginReply{Outcome: Unavailable}
+		}
+		reply, history, c = o.decide(p, args)
+	}
 	if p.shouldRelease(args) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
@@ -210,7 +219,7 @@
 		Expiry: time.Now().UnixMilli() + args.RetentionMS,
 	}
 	g := p.programLocked(&t)
-	g.budget = args.Budget
+	g.budget, g.released = args.Budget, false
 	if args.Parent == "" && !reply.Detached {
 		reply.Replica = g.replicaOf(args.Session)
 	}
@@ -232,17 +241,27 @@
 	}
 	c := &change{budget: args.Budget, done: make(chan struct{}), turn: t}
 	o.enqueueLocked(p, c)
+	o.startWriteLocked(p)
 	return reply, history, c
 }
 
-// enqueueLocked applies a change and queues it for the store.
+// enqueueLocked applies a change and queues it for the store. The caller must start a write, or
+// defer it.
 func (o *Owner) enqueueLocked(p *partition, c *change) {
 	t := c.turn
 	c.held, c.bytes = &o.held, int64(len(t.Input)+len(t.Output))
 	o.held.Add(c.bytes)
 	p.mergeLocked(&t)
 	p.pending = append(p.pending, c)
-	if !p.writing {
+}
+
+// startWriteLocked writes the pending changes, unless a write is in progress, which takes them.
+func (o *Owner) startWriteLocked(p *partition) {
+	if p.deferral != nil {
+		p.deferral.Stop()
+		p.deferral = nil
+	}
+	if !p.writing && len(p.pending) > 0 {
 		p.writing = true
 		go o.startWrite(p)
 	}
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -41,6 +41,9 @@
 	// releaseOffset is the foreignOffset at which the other owners were last asked to
 	// release their preallocations before the budget was exhausted.
 	releaseOffset int64
+	// released is set while another owner, which asked for the preallocation, grants the turns of
+	// the program.
+	released bool
 	// forgiven is the number of tokens preallocated to terminated owners that are no longer
 	// counted. It is at most what one turn generates, by which the budget may be exceeded.
 	forgiven int
@@ -122,15 +125,26 @@
 // owner leaves uncertain whether it was used. Until the record is stored, the current
 // preallocation is not raised.
 func (g *program) nextPreallocation() int {
-	turns := maxPreallocated
-	if g.budget > 0 && g.maxReservation > 0 {
-		turns = min(turns, max(g.budget-g.used(), 0)/g.maxReservation/turnsPerPreallocated)
-	}
-	next := g.unrecordedTokens() + turns*g.maxReservation
+	next := g.unrecordedTokens() + g.preallocatedTurns()*g.maxReservation
 	g.preallocation = min(g.preallocation, next)
 	return next
 }
 
+// preallocatedTurns returns the number of largest turns that a record written now preallocates.
+func (g *program) preallocatedTurns() int {
+	if g.budget <= 0 || g.maxReservation <= 0 {
+		return maxPreallocated
+	}
+	return min(maxPreallocated, max(g.budget-g.used(), 0)/g.maxReservation/turnsPerPreallocated)
+}
+
+// needsRecord reports whether the preallocation does not suffice for a largest turn, and would
+// after a record that is written now.
+func (g *program) needsRecord() bool {
+	spare := g.preallocation - g.unrecordedTokens()
+	return spare < g.maxReservation && g.preallocatedTurns() > 0
+}
+
 // forgive stops counting the preallocation of a terminated owner. Over the lifetime of the
 // program, it forgives at most the tokens of one turn in total. It reports whether that
 // changes anything.
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -90,9 +90,11 @@
 		return ReleaseReply{}, false
 	}
 	g := p.programs[programKey{args.Account, args.Program}]
+	// The program moves to another owner, which waits for its settlements.
+	o.startWriteLocked(p)
 	if g == nil {
 		return ReleaseReply{}, true
 	}
-	g.preallocation = 0
+	g.preallocation, g.released = 0, true
 	return ReleaseReply{Open: maps.Clone(g.unrecorded)}, true
 }
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -42,8 +42,11 @@
 var errStopping = errors.New("host is shutting down")
 
 // Drain refuses the calls that may take longer than until end, so that their callers go to the next
-// owner at once.
-func (s *Service) Drain(end time.Time) { s.end.Store(&end) }
+// owner at once, and writes the settlements that wait for others.
+func (s *Service) Drain(end time.Time) {
+	s.end.Store(&end)
+	s.owner.Flush()
+}
 
 // outlasts reports whether a call that may take as long as limit does not end before the host stops.
 func (s *Service) outlasts(limit time.Duration) bool {
--- a/internal/turns/settle.go
+++ b/internal/turns/settle.go
@@ -47,5 +47,10 @@
 		last = &change{turn: piece, done: make(chan struct{})}
 		o.enqueueLocked(p, last)
 	}
+	if o.canDeferLocked(p, t) {
+		o.deferWriteLocked(p)
+	} else {
+		o.startWriteLocked(p)
+	}
 	return last, EndReply{}
 }
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -260,5 +260,6 @@
 	if t.State == Ended && t.ID == turnOf(t.ID) {
 		t.State, t.Parent, t.Input, t.Output = Closed, "", nil, nil
 		o.enqueueLocked(p, &change{turn: t, done: make(chan struct{})})
+		o.startWriteLocked(p)
 	}
 }
