Connections of callers and hosts are limited before net/http parses their heads

Cause: nothing bounded the number of connections, the lines of a head or the memory that heads take up; max_header_bytes was decoded and not used, and the codec of calls between hosts allocated what a length named.

Change: internal/intake holds heads back until they are complete, well-formed and paid for, with a memory for heads of an eighth of the host's, and evicts connections beyond a limit, the longest idle first. All listeners of the gateway use it. Calls of other hosts are allocated as their bytes arrive and count against a memory, with a smaller one for unknown addresses. Heads of replicas' answers have a limit of lines. header_timeout_ms, idle_timeout_ms and limits.file_descriptors are read.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -18,6 +18,7 @@
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/gateway"
+	"cowslipgw/internal/intake"
 	"cowslipgw/internal/pacing"
 	"cowslipgw/internal/peers"
 	"cowslipgw/internal/quarantine"
@@ -43,10 +44,6 @@
 	// and requestMemoryShare that for the long bodies and histories of requests in progress.
 	contentMemoryShare = 0.12
 	requestMemoryShare = 0.2
-	// headerTimeout limits the time in which a client must send the request header.
-	headerTimeout = 10 * time.Second
-	// clientIdleTimeout is longer than any client keeps an idle connection open.
-	clientIdleTimeout = 5 * time.Minute
 	// sweepInterval is how often idle connections to replicas are checked.
 	sweepInterval = time.Second
 	// servingCheckInterval is how often the host checks whether it can serve callers.
@@ -89,20 +86,20 @@
 	hostPool   *forward.Pool
 	sender     *relay.Sender
 	gateway    *gateway.Gateway
+	// intake limits the connections of all listeners, by capacity.
+	intake     *intake.Intake
+	capacity   intake.Capacity
 	peerServer *peers.Server
 	turns      *turns.Service
 }
 
-// endpoint is an HTTP server and its listen address.
-type endpoint struct {
-	server *http.Server
-	addr   string
-}
-
 // newGatewayProcess creates the components of a host.
 func newGatewayProcess(s platform.Settings, path string, events *event.Logger) (*gatewayProcess, error) {
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
-	p := &gatewayProcess{settings: s, path: path, events: events}
+	memory := int64(s.MemoryMB) << 20
+	p := &gatewayProcess{settings: s, path: path, events: events, capacity: intake.CapacityOf(memory, s.Descriptors)}
+	p.intake = intake.New(p.capacity.HeadBytes, events)
+	p.intake.RegisterMetrics()
 	monitor := storelog.NewMonitor()
 	p.table = peers.NewTable(peers.Host{
 		ID: s.Host, Incarnation: time.Now().UnixMicro(), Domain: s.Domain, Entry: s.Frontend,
@@ -162,21 +159,10 @@
 func (p *gatewayProcess) run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	frontend := &http.Server{Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout,
-		ConnContext: gateway.ConnContext}
-	relays := &http.Server{Handler: p.gateway.RelayHandler(p.table.IsHost), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}
+	frontend := &http.Server{Handler: p.gateway, ConnContext: gateway.ConnContext}
+	relays := &http.Server{Handler: p.gateway.RelayHandler(p.table.IsHost)}
 	group, runCtx := errgroup.WithContext(ctx)
-	listeners := []endpoint{
-		{frontend, p.settings.Frontend},
-		{&http.Server{Handler: platform.NewReadiness(p.ready), ReadHeaderTimeout: headerTimeout}, p.settings.Readiness},
-		{&http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout},
-			net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+metricsPort))},
-		{relays, p.table.Self().Relay},
-	}
-	if p.settings.Directory != "" {
-		directory := platform.NewDirectory(p.entryAddresses, min(resolveTTL, p.settings.ResolveTTL))
-		listeners = append(listeners, endpoint{&http.Server{Handler: directory, ReadHeaderTimeout: headerTimeout}, p.settings.Directory})
-	}
+	listeners := p.endpoints(frontend, relays)
 	if err := p.servePeers(); err != nil {
 		return err
 	}
@@ -185,8 +171,10 @@
 		if err != nil {
 			return oops.Wrapf(err, "listen on %s", l.addr)
 		}
+		listener = p.intake.Listen(listener, l.options)
+		intake.Configure(l.server)
 		if l.server == frontend {
-			listener = p.gateway.CallerListener(listener, clientIdleTimeout)
+			listener = p.gateway.CallerListener(listener, unusedTimeout)
 		}
 		group.Go(func() error {
 			if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -285,7 +273,9 @@
 	if err != nil {
 		return oops.Wrapf(err, "listen for peer calls")
 	}
+	listener = p.intake.Listen(listener, intake.Options{Name: "peers", Connections: p.capacity.Hosts, Trusted: p.table.IsHost, Raw: true})
 	p.peerServer = peers.NewServer(server, p.events)
+	p.peerServer.SetMemory(p.callMemory())
 	go func() {
 		// The listener is open until the server shuts down.
 		_ = p.peerServer.Serve(listener)
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -44,4 +44,5 @@
 	HostStranded          = define(1750, logrus.WarnLevel, "links of the host to all replicas were lost or regained")
 	ReplicaEjected        = define(1743, logrus.WarnLevel, "replica was temporarily ejected from load balancing")
 	RelayDeclinedStopping = define(1759, logrus.InfoLevel, "request of another host was not passed on because this host is shutting down")
+	ConnectionsLimited    = define(1760, logrus.WarnLevel, "connections were refused or closed because they exceed a limit")
 )
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -17,7 +18,12 @@
 // with answers to other requests that precede it.
 const maxHead = 256 << 10
 
-// errHeadTooLong is returned by reads of a connection on which maxHead is exceeded.
+// maxHeadLines is the maximum number of lines that a replica may send before the body of the answer. Each line of a
+// head takes up to 170 bytes once it is parsed, whatever its size. The number leaves room for a head of 1,000
+// lines and a read buffer of empty lines, which may belong to the body.
+const maxHeadLines = 1000 + readBufferSize
+
+// errHeadTooLong is returned by reads of a connection on which maxHead or maxHeadLines is exceeded.
 var errHeadTooLong = errors.New("too many bytes before the answer")
 
 // headLimiter limits how much is read from a connection before the body of an answer.
@@ -25,13 +31,15 @@
 	net.Conn
 	// remaining is the number of bytes that may still be read; negative for no limit.
 	remaining int
+	// lines is the number of lines that may still be read while remaining is not negative.
+	lines int
 	// received is called when bytes arrive.
 	received func()
 }
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
+	if l.remaining == 0 || l.remaining > 0 && l.lines < 0 {
 		return 0, errHeadTooLong
 	}
 	if l.remaining > 0 {
@@ -43,6 +51,7 @@
 	}
 	if l.remaining > 0 {
 		l.remaining -= n
+		l.lines -= bytes.Count(p[:max(n, 0)], []byte{'\n'})
 	}
 	return n, err
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -68,6 +68,7 @@
 	c.head.remaining = maxHead
 	defer func() { c.head.remaining = -1 }()
 	for unmatched := 0; unmatched <= maxUnmatched; {
+		c.head.lines = maxHeadLines
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			if _, network := err.(net.Error); network || isConnClosed(err) {
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -20,10 +20,16 @@
 	maxLingerBytes = 4 << 20
 )
 
+// halfCloser is a connection whose sending direction can be closed.
+type halfCloser interface {
+	net.Conn
+	CloseWrite() error
+}
+
 // callerConn is the connection of a caller. It keeps the errors that net/http does not pass on:
 // why the caller counts as disconnected, and that the end of an answer could not be written.
 type callerConn struct {
-	*net.TCPConn
+	halfCloser
 	// idleTimeout limits the time until the first byte.
 	idleTimeout time.Duration
 	events      *event.Logger
@@ -58,12 +64,15 @@
 	return c
 }
 
+// NetConn returns the connection that c wraps.
+func (c *callerConn) NetConn() net.Conn { return c.halfCloser }
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.halfCloser.Read(p)
 	if n > 0 && !c.used.Swap(true) {
 		if timeout := c.headTimeout.Load(); timeout != 0 {
-			_ = c.TCPConn.SetReadDeadline(time.Now().Add(time.Duration(timeout)))
+			_ = c.halfCloser.SetReadDeadline(time.Now().Add(time.Duration(timeout)))
 		}
 	}
 	record(&c.readErr, err)
@@ -76,12 +85,12 @@
 		c.headTimeout.Store(int64(left))
 		t = time.Now().Add(c.idleTimeout)
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	return c.halfCloser.SetReadDeadline(t)
 }
 
 // Write implements net.Conn. It logs the first error of an answer.
 func (c *callerConn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
+	n, err := c.halfCloser.Write(p)
 	if failedBefore := c.writeErr.Load() != nil; err != nil && !failedBefore {
 		reason := disconnectReason(err)
 		callerWriteFailures(reason).Inc()
@@ -99,13 +108,13 @@
 // connection with unread bytes resets it, and the reset may overtake the answer.
 func (c *callerConn) Close() error {
 	if !c.linger.Swap(false) {
-		return c.TCPConn.Close()
+		return c.halfCloser.Close()
 	}
 	err := c.CloseWrite()
 	go func() {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-		_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxLingerBytes))
-		_ = c.TCPConn.Close()
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.halfCloser, maxLingerBytes))
+		_ = c.halfCloser.Close()
 	}()
 	return err
 }
--- a/internal/gateway/caller_listener.go
+++ b/internal/gateway/caller_listener.go
@@ -24,8 +24,8 @@
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		return &callerConn{TCPConn: tcp, idleTimeout: l.idleTimeout, events: l.events}, err
+	if tcp, ok := c.(halfCloser); ok && err == nil {
+		return &callerConn{halfCloser: tcp, idleTimeout: l.idleTimeout, events: l.events}, err
 	}
 	return c, err
 }
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -3,18 +3,35 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"io"
+	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
+
+	"cowslipgw/internal/intake"
 )
 
 // maxCall is the maximum size of one call or reply between hosts, in bytes. The largest is the
 // history of a program.
 const maxCall = 16 << 20
 
+const (
+	// firstMessageBytes is what is allocated for a message before its bytes arrive: a length alone
+	// must not cost more.
+	firstMessageBytes = 64 << 10
+	// messageTimeout limits the time from the length of a call to its last byte. Hosts may be paused
+	// for seconds while they send.
+	messageTimeout = 10 * time.Second
+)
+
+// errMessageMemory is returned for a call that does not fit into the memory for calls.
+var errMessageMemory = errors.New("no memory for a call of another host")
+
 // callHeader precedes the arguments of a call and the result of a reply.
 type callHeader struct {
 	_        struct{} `cbor:",toarray"`
@@ -33,6 +50,10 @@
 	reader *bufio.Reader
 	// body is the rest of the message whose header was read last.
 	body []byte
+	// memory limits the messages that are being received; nil for no limit. charged is what this
+	// connection holds of it.
+	memory  *intake.Memory
+	charged int64
 
 	writeMu sync.Mutex
 }
@@ -52,8 +73,8 @@
 	if size > maxCall {
 		return header, oops.Errorf("message of %d bytes exceeds the limit", size)
 	}
-	message := make([]byte, size)
-	if _, err := io.ReadFull(c.reader, message); err != nil {
+	message, err := c.readMessage(int(size))
+	if err != nil {
 		return header, err
 	}
 	rest, err := cbor.UnmarshalFirst(message, &header)
@@ -61,8 +82,49 @@
 	return header, err
 }
 
+// readMessage reads a message of the given size. Memory is allocated as its bytes arrive.
+func (c *codec) readMessage(size int) ([]byte, error) {
+	if conn, ok := c.conn.(net.Conn); ok && c.memory != nil {
+		if err := conn.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
+			return nil, err
+		}
+		// The connection fails at the next read if this does.
+		defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
+	}
+	var message []byte
+	for len(message) < size {
+		grown := min(max(firstMessageBytes, 2*len(message)), size)
+		// Both buffers are in memory while the message is copied.
+		if !c.charge(int64(len(message) + grown)) {
+			return nil, errMessageMemory
+		}
+		read := len(message)
+		message = append(make([]byte, 0, grown), message...)[:grown]
+		if _, err := io.ReadFull(c.reader, message[read:]); err != nil {
+			return nil, err
+		}
+	}
+	return message, nil
+}
+
+// charge changes what the connection holds of its memory. It reports whether there is room.
+func (c *codec) charge(bytes int64) bool {
+	if c.memory == nil {
+		return true
+	}
+	if !c.memory.Resize(c.charged, bytes) {
+		return false
+	}
+	c.charged = bytes
+	return true
+}
+
 // readBody decodes the body of the last message; a nil target discards it.
 func (c *codec) readBody(target any) error {
+	defer func() {
+		c.body = nil
+		c.charge(0)
+	}()
 	if target == nil {
 		return nil
 	}
--- a/internal/peers/serve.go
+++ b/internal/peers/serve.go
@@ -9,6 +9,7 @@
 
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/guard"
+	"cowslipgw/internal/intake"
 )
 
 // shutdownPoll is how often Shutdown checks whether the calls in progress are answered.
@@ -18,6 +19,8 @@
 type Server struct {
 	rpc    *rpc.Server
 	events *event.Logger
+	// memoryOf returns the memory for calls of an address; nil for no limit.
+	memoryOf func(addr string) *intake.Memory
 
 	mu       sync.Mutex
 	stopped  bool
@@ -31,6 +34,23 @@
 	return &Server{rpc: server, events: events}
 }
 
+// SetMemory limits the memory of the calls that are being received. memoryOf returns the memory for
+// calls of an IP address. It must be called before Serve.
+func (s *Server) SetMemory(memoryOf func(addr string) *intake.Memory) { s.memoryOf = memoryOf }
+
+// newCodec returns the codec of an accepted connection.
+func (s *Server) newCodec(conn net.Conn) *serverCodec {
+	c := &serverCodec{codec: newCodec(conn), server: s}
+	if s.memoryOf != nil {
+		host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+		if err != nil {
+			host = conn.RemoteAddr().String()
+		}
+		c.memory = s.memoryOf(host)
+	}
+	return c
+}
+
 // Serve answers the calls on a listener until it is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	s.mu.Lock()
@@ -42,7 +62,7 @@
 			return err
 		}
 		go guard.Run(s.events, "connection of another host", func() {
-			s.rpc.ServeCodec(&serverCodec{codec: newCodec(conn), server: s})
+			s.rpc.ServeCodec(s.newCodec(conn))
 		})
 	}
 }
--- a/internal/peers/server_codec.go
+++ b/internal/peers/server_codec.go
@@ -28,3 +28,9 @@
 	defer c.server.end()
 	return c.codec.WriteResponse(r, body)
 }
+
+// Close implements rpc.ServerCodec. net/rpc calls it after its last read.
+func (c *serverCodec) Close() error {
+	c.charge(0)
+	return c.codec.Close()
+}
--- a/internal/route/account.go
+++ b/internal/route/account.go
@@ -1,5 +1,7 @@
 package route
 
+import "time"
+
 // Account is a client account.
 type Account struct {
 	Name string
@@ -13,9 +15,13 @@
 	Burst float64
 }
 
-// Limits are size limits for callers' requests.
+// Limits are limits for callers' requests and connections.
 type Limits struct {
 	// HeaderBytes and BodyBytes are the maximum sizes of header and body; 0 means no limit.
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTimeout is the maximum time to receive a header, and IdleTimeout that for which a
+	// connection may be idle; 0 means the default of the host.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
