--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -60,3 +60,19 @@
 		is.True(<-sent < maxFlood)
 	}
 }
+
+// TestManyShortHeaderLines guards against an answer whose head is legal in bytes and takes up many times
+// that in memory, because it consists of short lines.
+func TestManyShortHeaderLines(t *testing.T) {
+	is := is.New(t)
+	addr, _ := serveRaw(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\n", 10_000) + "Content-Length: 0\r\n\r\n"))
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := NewPool().Send(ctx, &Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{}, Addr: addr},
+		func(int, http.Header) bool { return true })
+	is.True(errors.Is(err, ErrInvalidAnswer))
+}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -121,11 +121,13 @@
 // passBuffered scans buffered bytes that were not scanned yet.
 func (c *Conn) passBuffered() {
 	skip, n, err := c.pass(c.buf, c.scanned)
-	c.buf = c.buf[skip:]
 	c.ready, c.err, c.scanned = n, err, 0
+	if err != nil && n == 0 {
+		c.buf = nil // a refusal has released it
+		return
+	}
+	c.buf = c.buf[skip:]
 	switch {
-	case err != nil && n == 0:
-		c.buf = nil
 	case len(c.buf) == 0:
 		c.buf = nil
 		c.resize(func() int64 { return c.headCharge })
--- a/internal/peers/codec_test.go
+++ b/internal/peers/codec_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"cowslipgw/internal/intake"
 )
 
 // buffer is a connection that returns what was written to it.
@@ -58,3 +60,25 @@
 		}
 	})
 }
+
+// TestLengthAloneAllocatesLittle guards against a length without its message that costs as much memory as it
+// names, and against messages that together exceed the memory for calls.
+func TestLengthAloneAllocatesLittle(t *testing.T) {
+	is := is.New(t)
+	b := &buffer{}
+	b.Write(binary.BigEndian.AppendUint32(nil, maxCall))
+	b.Write(make([]byte, 100))
+	c := newCodec(b)
+	c.memory = intake.NewMemory(1 << 20)
+	var r rpc.Request
+	is.True(c.ReadRequestHeader(&r) != nil)
+	is.Equal(c.charged, int64(firstMessageBytes))
+	c.charge(0)
+
+	b.Write(binary.BigEndian.AppendUint32(nil, maxCall))
+	b.Write(make([]byte, 100))
+	is.True(c.memory.Resize(0, 1<<19)) // another call
+	other := newCodec(b)
+	other.memory = c.memory
+	is.Equal(other.ReadRequestHeader(&r), errMessageMemory)
+}
