--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -49,4 +49,5 @@
 	EvacuationDrained      = define(1782, logrus.InfoLevel, "host has no more requests in an evacuated failure domain")
 	EvacuationInvalid      = define(1783, logrus.ErrorLevel, "evacuation record is invalid and was ignored")
 	EvacuationsUnconfirmed = define(1784, logrus.WarnLevel, "host could not confirm the evacuations, or can again")
+	ConnectionsLimited     = define(1760, logrus.WarnLevel, "connections were refused or closed because they exceed a limit")
 )
