replica: cold replicas get a limited rate

Cause: replicas that have just started, or were idle during an evacuation, accept few requests (cold_per_s) and crash well above that; hosts only preferred others.

Change: cold_per_s and cold_start_s of the configuration make a cold replica one with a rate limit of 0.8 of cold_per_s, which the owner of its rate schedules. replica.Set tracks the period of each incarnation on the host's clock: from its record, from X-Cold-Ms in answers, from other hosts that had such an answer (notice key 20, sent once), and from the end of an evacuation of its domain, also if the host was away for all of it (State.Returned). Right before sending, a lease without a reserved time, or with one that has passed by 500 ms, is withheld. Relayed requests say whether a time is reserved (Relay-Paced); otherwise the relaying host reserves it.

Fixtures: the gateway tests' codec decodes a header for the cold time, their fleet can lose a host's calls.

--- a/cmd/cowslipgw/gateway_evacuations.go
+++ b/cmd/cowslipgw/gateway_evacuations.go
@@ -18,3 +18,10 @@
 			domain, e.Seconds, domain, e.InFlight)
 	}
 }
+
+// writeColdReplicas writes the number of cold replicas of each service that has any.
+func writeColdReplicas(w io.Writer, counts map[string]int) {
+	for _, service := range slices.Sorted(maps.Keys(counts)) {
+		_, _ = fmt.Fprintf(w, "cowslipgw_cold_replicas{service=%q} %d\n", service, counts[service])
+	}
+}
--- a/cmd/cowslipgw/gateway_notices.go
+++ b/cmd/cowslipgw/gateway_notices.go
@@ -24,6 +24,9 @@
 		p.replicas.LearnLimit(limit.Replica, limit.Incarnation, limit.PerSecond)
 	}
 	p.replicas.LearnLeaving(b.LeavingReplicas)
+	for _, cold := range b.ColdReplicas {
+		p.replicas.LearnCold(cold.Replica, time.Duration(cold.RemainingMS)*time.Millisecond)
+	}
 	p.quarantine.Receive(b.Host.ID, b.Notice)
 }
 
@@ -38,3 +41,8 @@
 		p.beacon.Broadcast(peers.Notice{LeavingReplicas: part})
 	}
 }
+
+// announceCold tells all other hosts that a replica is cold.
+func (p *gatewayProcess) announceCold(i replica.Incarnation, remaining time.Duration) {
+	p.beacon.Broadcast(peers.Notice{ColdReplicas: []peers.ColdReplica{{Replica: i, RemainingMS: remaining.Milliseconds()}}})
+}
--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -26,6 +26,7 @@
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
+	"cowslipgw/internal/route"
 	"cowslipgw/internal/storelog"
 	"cowslipgw/internal/turns"
 	"cowslipgw/platform"
@@ -139,10 +140,11 @@
 	p.beacon.SetInFlight(admissionClient.Reports)
 	p.replicas.OnLimit(p.announceLimit)
 	p.replicas.OnLeaving(p.announceLeaving)
+	p.replicas.OnCold(p.announceCold)
 	p.evacuations = evacuation.NewKnowledge(s.EvacuationBound, p.replicas.SetEvacuated)
 	configReader := platform.NewConfigReader(store, s.AccountsEnabled, events)
 	configReader.FollowEvacuations(s, p.evacuations.LearnRead)
-	p.config = gateway.NewConfigWatcher(configReader, s.KeyFreshness, p.table.Known, limiter.Configure, events)
+	p.config = gateway.NewConfigWatcher(configReader, s.KeyFreshness, p.table.Known, p.configure, events)
 	p.follower = evacuation.NewFollower(p.evacuations, p.table, peerCaller, p.config, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), p.replicas, p.table.Known)
 	p.pool, p.hostPool = forward.NewPool(), forward.NewPoolWith(peers.NewDialer(p.table.Self()))
@@ -156,6 +158,12 @@
 	return p, nil
 }
 
+// configure applies a new version of the configuration.
+func (p *gatewayProcess) configure(t *route.Table) {
+	p.limiter.Configure(t)
+	p.replicas.Configure(t)
+}
+
 // turnLimits returns the limits of the owner of turns. Settings that are missing keep their default.
 func turnLimits(s platform.Settings) turns.Limits {
 	limits := turns.DefaultLimits()
@@ -337,6 +345,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 		writeEvacuations(w, replicas.Evacuations())
+		writeColdReplicas(w, replicas.ColdReplicas())
 	})
 	return mux
 }
--- a/internal/evacuation/fixture_test.go
+++ b/internal/evacuation/fixture_test.go
@@ -34,7 +34,7 @@
 func newTestHost(t *testing.T) *testHost {
 	t.Helper()
 	h := &testHost{now: boottime.Now(), known: 1}
-	h.knowledge = NewKnowledge(bound, func(domains map[string]int64) { h.domains = domains })
+	h.knowledge = NewKnowledge(bound, func(domains, _ map[string]int64) { h.domains = domains })
 	h.knowledge.now = func() boottime.Instant { return h.now }
 	h.follower = NewFollower(h.knowledge, h, h, h, event.Discard())
 	return h
--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -181,7 +181,7 @@
 		return errors.As(err, &refused)
 	}
 	if reply.Known {
-		f.knowledge.LearnReported(State{End: reply.End, Domains: reply.Domains}, asked, reply.Age)
+		f.knowledge.LearnReported(State{End: reply.End, Domains: reply.Domains, Returned: reply.Returned}, asked, reply.Age)
 		confirmationsOfHosts.Inc()
 	}
 	return true
--- a/internal/evacuation/knowledge.go
+++ b/internal/evacuation/knowledge.go
@@ -22,7 +22,7 @@
 	// means that it always does.
 	maxAge   time.Duration
 	now      func() boottime.Instant
-	onChange func(domains map[string]int64)
+	onChange func(domains, returned map[string]int64)
 
 	mu    sync.Mutex
 	known bool
@@ -35,8 +35,8 @@
 
 // NewKnowledge returns the knowledge of a host that has read nothing yet. Bound is the time after
 // which an evacuation must have taken effect; 0 if the deployment sets none. OnChange is called with
-// the evacuated domains after each change, before it counts as known.
-func NewKnowledge(bound time.Duration, onChange func(domains map[string]int64)) *Knowledge {
+// the domains of the state after each change, before it counts as known.
+func NewKnowledge(bound time.Duration, onChange func(domains, returned map[string]int64)) *Knowledge {
 	k := &Knowledge{now: boottime.Now, onChange: onChange}
 	if bound > 0 {
 		k.maxAge = max(bound-sendMargin, bound/2)
@@ -73,8 +73,8 @@
 	if k.known && s.End == k.state.End {
 		return
 	}
-	if !k.known || !maps.Equal(k.state.Domains, s.Domains) {
-		k.onChange(s.Domains)
+	if !k.known || !maps.Equal(k.state.Domains, s.Domains) || !maps.Equal(k.state.Returned, s.Returned) {
+		k.onChange(s.Domains, s.Returned)
 	}
 	k.state, k.known, k.learnedAt = s, true, k.now()
 }
--- a/internal/evacuation/service.go
+++ b/internal/evacuation/service.go
@@ -16,9 +16,10 @@
 // ReportReply is the response to ReportArgs. Known is not set if the host has not read the records
 // yet.
 type ReportReply struct {
-	Known   bool
-	End     int64
-	Domains map[string]int64
+	Known    bool
+	End      int64
+	Domains  map[string]int64
+	Returned map[string]int64
 	// Age is the time since the state was confirmed.
 	Age time.Duration
 }
@@ -38,7 +39,7 @@
 func (s *Service) Report(_ ReportArgs, reply *ReportReply) error {
 	return guard.Call(s.events, ServiceName+".Report", func() error {
 		state, age, known := s.knowledge.report()
-		*reply = ReportReply{Known: known, End: state.End, Domains: state.Domains, Age: age}
+		*reply = ReportReply{Known: known, End: state.End, Domains: state.Domains, Returned: state.Returned, Age: age}
 		return nil
 	})
 }
--- a/internal/evacuation/state.go
+++ b/internal/evacuation/state.go
@@ -7,4 +7,7 @@
 	// Domains holds the offset of the record that evacuated each domain. It is not changed once the
 	// state was passed on.
 	Domains map[string]int64
+	// Returned holds the offset of the record that ended the last evacuation of each domain, as far
+	// as it was read. Hosts that were away for a whole evacuation learn of it so.
+	Returned map[string]int64
 }
--- a/internal/event/gateway.go
+++ b/internal/event/gateway.go
@@ -48,5 +48,6 @@
 	EvacuationEnded        = define(1781, logrus.WarnLevel, "evacuation of a failure domain ended")
 	EvacuationDrained      = define(1782, logrus.InfoLevel, "host has no more requests in an evacuated failure domain")
 	EvacuationInvalid      = define(1783, logrus.ErrorLevel, "evacuation record is invalid and was ignored")
+	ReplicaCold            = define(1785, logrus.InfoLevel, "replica is cold and gets a limited rate, or is no longer cold")
 	EvacuationsUnconfirmed = define(1784, logrus.WarnLevel, "host could not confirm the evacuations, or can again")
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,10 +122,11 @@
 	priority, hasPriority := x.turnPriority()
 	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after,
 		Priority: priority, HasPriority: hasPriority})
-	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline,
-		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header, MaySend: x.g.maySend(record),
+	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline, Paced: lease.Reserved(),
+		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header, MaySend: x.g.maySend(lease.CheckSend),
 			Repeatable: x.route.Kind == route.Safe || x.route.Resumable,
 			Body:       body, HasBody: x.call.HasBody}}
+	sent := time.Now()
 	answer, through, err := x.g.sender.Send(attemptCtx, request, x.g.answersTo(x.call.ID))
 	x.through = through
 	if x.next = failover.end(); x.next != nil && err == nil {
@@ -164,6 +165,7 @@
 		lease.RateLimit(*info.RateLimit)
 	}
 	x.g.learnLeaving(record, info, answer.Status)
+	x.g.learnCold(record, info, answer.Status, sent)
 	a := &attempt{lease: lease, answer: answer, info: info, cancel: cancel}
 	if info.isRefusal(answer.Status) {
 		info.limitReuse(answer)
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -37,6 +37,8 @@
 	RateLimit *replica.RateLimit
 	// Leaving is set if the replica says that it is about to end and wants no new requests.
 	Leaving bool
+	// Cold is how long the replica stays cold, 0 if it is not; nil if the answer does not say so.
+	Cold *time.Duration
 }
 
 // Codec translates between the wire format and the gateway's types.
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -5,8 +5,6 @@
 	"errors"
 
 	"github.com/VictoriaMetrics/metrics"
-
-	"cowslipgw/internal/replica"
 )
 
 // Evacuations tells whether the evacuated failure domains are known well enough to send requests;
@@ -30,10 +28,11 @@
 }
 
 // maySend returns a function that reports whether a request may reach a replica at the moment it is
-// called. What was decided before a pause of this host, or before a record was read, may not.
-func (g *Gateway) maySend(r replica.Record) func() error {
+// called; check returns an error if the replica is evacuated or cold. What was decided before a pause
+// of this host, or before a record was read, may not be sent.
+func (g *Gateway) maySend(check func() error) func() error {
 	return func() error {
-		err := g.replicas.CheckSend(r)
+		err := check()
 		if err == nil && g.evacuations != nil && !g.evacuations.Current() {
 			err = errUnconfirmed
 		}
--- a/internal/gateway/evacuation_test.go
+++ b/internal/gateway/evacuation_test.go
@@ -54,9 +54,9 @@
 	var runs atomic.Int64
 	gw := newTestGateway(t, 0, echoing(&runs))
 	gw.addReplicaIn("z1", "other", newUpstream(t, echoing(&runs)))
-	gw.replicas.SetEvacuated(map[string]int64{"z": 0})
+	gw.replicas.SetEvacuated(map[string]int64{"z": 0}, nil)
 	is.Equal(gw.call(t, http.MethodPost, "/unsafe/x", "in", "Id", "a", "Key", "k").status, http.StatusOK)
-	gw.replicas.SetEvacuated(map[string]int64{"z": 0, "z1": 1})
+	gw.replicas.SetEvacuated(map[string]int64{"z": 0, "z1": 1}, nil)
 	for _, path := range []string{"/safe/x", "/unsafe/x", "/draft/x", "/chat/x", "/resumable/x"} {
 		start := time.Now()
 		got := gw.call(t, http.MethodPost, path, "in", "Id", path, "Key", "k", "Program", path)
@@ -82,7 +82,7 @@
 		is.Equal(gw.call(t, http.MethodPost, "/safe/x", "in", "Id", strconv.Itoa(n), "Key", "k").status, http.StatusOK)
 	}
 	before := runs.Load()
-	time.AfterFunc(50*time.Millisecond, func() { gw.replicas.SetEvacuated(map[string]int64{"z": 0}) })
+	time.AfterFunc(50*time.Millisecond, func() { gw.replicas.SetEvacuated(map[string]int64{"z": 0}, nil) })
 	start := time.Now()
 	got := gw.call(t, http.MethodPost, "/safe/x", "in", "Id", "late", "Key", "k")
 	is.True(time.Since(start) >= 50*time.Millisecond) // it waited
@@ -97,7 +97,7 @@
 	var runs atomic.Int64
 	fleet := newStrandedFleet(t, echoing(&runs), echoing(&runs))
 	for _, host := range fleet[1:] {
-		host.replicas.SetEvacuated(map[string]int64{"z": 0})
+		host.replicas.SetEvacuated(map[string]int64{"z": 0}, nil)
 	}
 	before := runs.Load()
 	got := fleet[0].call(t, http.MethodPost, "/unsafe/x", "in", "Id", "a", "Key", "k")
@@ -112,7 +112,7 @@
 	var runs, others atomic.Int64
 	known := &evacuations{}
 	gw := newTestGatewayIn(t, &testFleet{evacuations: known}, storelog.NewMemory(), 0, echoing(&runs))
-	known.confirm = func() { gw.replicas.SetEvacuated(map[string]int64{"z": 0}) }
+	known.confirm = func() { gw.replicas.SetEvacuated(map[string]int64{"z": 0}, nil) }
 	// The connection opens only after the choice, as if the host were paused there.
 	pause := func() { known.stale.Store(true) }
 	gw.links.onDial.Store(&pause)
@@ -142,7 +142,7 @@
 			_, _ = io.WriteString(w, "id: "+strconv.Itoa(n+1)+"\ndata: x\n\n")
 			_ = http.NewResponseController(w).Flush()
 			if n == 0 {
-				gw.replicas.SetEvacuated(map[string]int64{"z": 0})
+				gw.replicas.SetEvacuated(map[string]int64{"z": 0}, nil)
 			}
 		}
 		if strings.HasSuffix(r.URL.Path, "cut") {
@@ -151,7 +151,7 @@
 	}
 	gw = newTestGateway(t, 0, stream)
 	is.True(gw.call(t, http.MethodPost, "/resumable/whole", "in", "Id", "a", "Key", "k").complete)
-	gw.replicas.SetEvacuated(nil)
+	gw.replicas.SetEvacuated(nil, nil)
 	is.True(!gw.call(t, http.MethodPost, "/resumable/cut", "in", "Id", "b", "Key", "k").complete)
 	is.Equal(runs.Load(), int64(2))
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -56,6 +56,10 @@
 	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		info.RateLimit = &replica.RateLimit{Limited: true, PerSecond: perSecond}
 	}
+	if ms, err := strconv.Atoi(h.Get("Cold")); err == nil {
+		cold := time.Duration(ms) * time.Millisecond
+		info.Cold = &cold
+	}
 	return info
 }
 
@@ -136,6 +140,7 @@
 // testGateway is a gateway with upstreams that run in the test process.
 type testGateway struct {
 	gateway   *gateway.Gateway
+	fleet     *testFleet
 	entry     *httptest.Server
 	log       *storelog.Memory
 	config    *gateway.ConfigWatcher
@@ -200,6 +205,7 @@
 		Costs: quota.NewCostEstimator(), Replicas: gw.replicas, Pacing: pacer, Quarantine: quarantined, Sender: sender, Turns: client, Events: events, Evacuations: fleet.evacuations,
 		StoreReachableElsewhere: singleHost{}.StoreElsewhere})
 	gw.gateway, gw.config, gw.sender = g, config, sender
+	gw.fleet = fleet
 	fleet.joinReplicas(gw.replicas)
 	relays := httptest.NewServer(g.RelayHandler(func(ip string) bool { return ip == "127.0.0.1" }))
 	t.Cleanup(relays.Close)
@@ -227,6 +233,8 @@
 	// mu guards stranded and the relays of hosts, which join while others run.
 	mu       sync.Mutex
 	stranded map[string]func() bool
+	// lost holds the ID of a host that no calls of others reach; nil for none.
+	lost atomic.Value
 }
 
 // addRelay sets the address of the host that joined last for requests of other hosts.
@@ -285,6 +293,9 @@
 
 // Call implements peers.Calls.
 func (f *testFleet) Call(_ context.Context, h peers.Host, _ string, args, reply any) error {
+	if lost, ok := f.lost.Load().(string); ok && lost == h.ID {
+		return storelog.ErrUnknown
+	}
 	*reply.(*pacing.ReserveReply) = f.pacers[h.ID].Reserve(args.(pacing.ReserveArgs))
 	return nil
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -95,11 +95,16 @@
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
 	defer context.AfterFunc(g.stopped, cancel)()
+	if !received.Paced && !g.reserveFor(ctx, received, record) {
+		replyOutcome(w, relay.Declined)
+		return
+	}
 	header := EndToEnd(r.Header)
 	relay.RemoveHeaders(header)
 	request := &relay.Request{ID: received.ID, Replica: record, Deadline: time.Now().Add(remaining),
-		Request: forward.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header, MaySend: g.maySend(record),
+		Request: forward.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: header, MaySend: g.maySend(func() error { return g.replicas.CheckSend(record) }),
 			Body: [][]byte{body}, HasBody: r.Header.Get("Content-Length") != ""}}
+	sent := time.Now()
 	answer, outcome := g.sender.SendFor(ctx, request, g.answersTo(received.ID))
 	if outcome != relay.Answered {
 		replyOutcome(w, outcome)
@@ -109,6 +114,7 @@
 	info := g.codec.Answer(answer.Header)
 	info.limitReuse(answer)
 	g.learnLeaving(record, info, answer.Status)
+	g.learnCold(record, info, answer.Status, sent)
 	copyAnswer(w, answer)
 }
 
--- a/internal/peers/notice.go
+++ b/internal/peers/notice.go
@@ -17,11 +17,14 @@
 	Quarantined []Quarantine `cbor:"13,keyasint,omitempty"`
 	// LeavingReplicas are those that told the sender that they are about to end.
 	LeavingReplicas []replica.Incarnation `cbor:"15,keyasint,omitempty"`
+	// ColdReplicas are those that told the sender that they are cold. Hosts of earlier builds neither
+	// send nor read them.
+	ColdReplicas []ColdReplica `cbor:"20,keyasint,omitempty"`
 }
 
 // isEmpty reports whether the notice has no part.
 func (n Notice) isEmpty() bool {
-	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined)+len(n.LeavingReplicas) == 0
+	return len(n.Limits)+len(n.Crashes)+len(n.Completed)+len(n.Quarantined)+len(n.LeavingReplicas)+len(n.ColdReplicas) == 0
 }
 
 // CrashProgram returns the program of the request in Crashes with the given index, or 0 if it
@@ -41,6 +44,13 @@
 	PerSecond   float64
 }
 
+// ColdReplica is a replica that is cold for some time.
+type ColdReplica struct {
+	_           struct{} `cbor:",toarray"`
+	Replica     replica.Incarnation
+	RemainingMS int64
+}
+
 // RequestDigest identifies a request and its repetitions.
 type RequestDigest [16]byte
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -18,6 +18,8 @@
 	Replica replica.Record
 	// Deadline is the time after which the request must not be sent.
 	Deadline time.Time
+	// Paced is set if a part of the replica's rate is reserved for the request.
+	Paced bool
 }
 
 // Headers that hosts add to requests and answers which they pass on for each other.
@@ -31,12 +33,15 @@
 	headerRemaining = "Relay-Remaining-Ms"
 	// headerCheck is set if the replica's link is to be checked and nothing to be sent.
 	headerCheck = "Relay-Check"
+	// headerPaced is set if a part of the replica's rate is reserved for the request. Hosts of earlier
+	// builds neither send nor read it.
+	headerPaced = "Relay-Paced"
 	// headerOutcome has the Outcome of the attempt, in answers.
 	headerOutcome = "Relay-Outcome"
 )
 
 // relayHeaders are the headers that concern only the hosts.
-var relayHeaders = []string{headerReplica, headerIncarnation, headerRequestID, headerRemaining, headerCheck, headerOutcome}
+var relayHeaders = []string{headerReplica, headerIncarnation, headerRequestID, headerRemaining, headerCheck, headerPaced, headerOutcome}
 
 // RemoveHeaders removes the headers that hosts add for each other.
 func RemoveHeaders(h http.Header) {
@@ -51,6 +56,9 @@
 	h.Set(headerIncarnation, strconv.FormatInt(r.Replica.Born, 10))
 	h.Set(headerRequestID, r.ID)
 	h.Set(headerRemaining, strconv.FormatInt(time.Until(r.Deadline).Milliseconds(), 10))
+	if r.Paced {
+		h.Set(headerPaced, "1")
+	}
 }
 
 // Received is what a host asks another one to do.
@@ -62,13 +70,15 @@
 	Incarnation int64
 	// Remaining is the time until the deadline when the request was sent.
 	Remaining time.Duration
+	// Paced is set if the other host has reserved a part of the replica's rate.
+	Paced bool
 	// Check is set if only the link to the replica is to be checked.
 	Check bool
 }
 
 // Decode decodes the headers of a request from another host. It reports false if they are invalid.
 func Decode(h http.Header) (Received, bool) {
-	r := Received{ID: h.Get(headerRequestID), Replica: h.Get(headerReplica), Check: h.Get(headerCheck) != ""}
+	r := Received{ID: h.Get(headerRequestID), Replica: h.Get(headerReplica), Check: h.Get(headerCheck) != "", Paced: h.Get(headerPaced) != ""}
 	incarnation, err := strconv.ParseInt(h.Get(headerIncarnation), 10, 64)
 	if err != nil || r.Replica == "" {
 		return Received{}, false
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -136,6 +136,7 @@
 	if (!r.removeAt.IsZero() && now.After(r.removeAt)) || s.isEvacuatedLocked(r.record) {
 		return false
 	}
+	s.updateColdLocked(r, now)
 	if q.Only != "" {
 		return r.record.ID == q.Only
 	}
--- a/internal/replica/evacuation.go
+++ b/internal/replica/evacuation.go
@@ -21,9 +21,10 @@
 	emptyLogged bool
 }
 
-// SetEvacuated sets the evacuated failure domains and the offsets of the operator's records. Attempts
-// in flight there are left to end by themselves.
-func (s *Set) SetEvacuated(domains map[string]int64) {
+// SetEvacuated sets the evacuated failure domains and the offsets of the operator's records. Returned
+// holds the offsets of the records that ended evacuations, of which this host may have missed the
+// beginning. Attempts in flight in an evacuated domain are left to end by themselves.
+func (s *Set) SetEvacuated(domains, returned map[string]int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
@@ -42,6 +43,14 @@
 		delete(s.evacuated, domain)
 		s.events.Log(event.EvacuationEnded, event.Fields{"zone": domain, "offset": old.offset,
 			"evacuated_ms": now.Sub(old.since).Milliseconds(), "in_flight": s.inFlightLocked(domain)})
+		s.coldAfterReturnLocked(domain)
+	}
+	for domain, offset := range returned {
+		if last, known := s.returned[domain]; known && offset <= last {
+			continue
+		}
+		s.returned[domain] = offset
+		s.coldAfterReturnLocked(domain)
 	}
 }
 
--- a/internal/replica/evacuation_test.go
+++ b/internal/replica/evacuation_test.go
@@ -36,7 +36,7 @@
 	s.Choose(Query{Service: "s", Only: "z1"}).RateLimit(RateLimit{Limited: true, PerSecond: 1})
 	lease := s.Choose(Query{Service: "s", Only: "z1"})
 	lease.Pause(time.Minute)
-	s.SetEvacuated(evacuated("z0", "z1"))
+	s.SetEvacuated(evacuated("z0", "z1"), nil)
 	for range 20 {
 		is.Equal(s.Choose(Query{Service: "s", Prefer: "z0", Gain: 10}).Record().ID, "z2")
 	}
@@ -49,7 +49,7 @@
 	is.True(s.Choose(Query{Service: "s", Exclude: map[string]bool{"z2": true}}) == nil)
 	is.Equal(s.Slots("s"), 4)
 	is.True(errors.Is(s.CheckSend(lease.Record()), ErrEvacuated)) // chosen before the evacuation
-	s.SetEvacuated(evacuated("z0"))
+	s.SetEvacuated(evacuated("z0"), nil)
 	is.NoErr(s.CheckSend(lease.Record()))
 	is.Equal(s.Slots("s"), 8)
 }
@@ -59,7 +59,7 @@
 func TestLastDomainIsEvacuated(t *testing.T) {
 	is := is.New(t)
 	s := newZonedSet()
-	s.SetEvacuated(evacuated("z0", "z1", "z2"))
+	s.SetEvacuated(evacuated("z0", "z1", "z2"), nil)
 	s.Put(Record{ID: "z1", Service: "s", Domain: "z1", Slots: 4, Born: 2})
 	is.True(s.Choose(Query{Service: "s"}) == nil)
 	is.Equal(s.Slots("s"), 0)
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -9,7 +9,9 @@
 	class   string
 	start   time.Time
 	// small is set if the request is too small for replicas with a rate limit.
-	small         bool
+	small bool
+	// reserved is set once a part of the replica's rate is reserved for the attempt.
+	reserved      bool
 	firstByteSeen bool
 	done          bool
 }
--- a/internal/replica/ratelimit.go
+++ b/internal/replica/ratelimit.go
@@ -51,8 +51,12 @@
 	if !limit.Limited && l.start.Before(r.limit.learnedAt) {
 		return
 	}
-	isNew := limit.Limited && !r.limit.Limited
-	l.set.setLimitLocked(r, limit, time.Now())
+	known := r.limit.RateLimit
+	if r.cold.applied {
+		known, r.cold.answered = r.cold.answered, limit
+	}
+	isNew := limit.Limited && !known.Limited
+	l.set.setLimitLocked(r, l.set.effectiveLimitLocked(r, limit), time.Now())
 	if isNew && l.set.onLimit != nil {
 		go l.set.onLimit(r.record, limit.PerSecond)
 	}
@@ -115,6 +119,7 @@
 func (l *Lease) Limit() (limit RateLimit, age time.Duration) {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
+	l.set.updateColdLocked(l.replica, time.Now())
 	return l.replica.limit.RateLimit, boottime.Since(l.replica.limit.confirmedAt)
 }
 
@@ -125,6 +130,9 @@
 	defer l.set.mu.Unlock()
 	confirmed := boottime.Now().Add(-age)
 	if limit := &l.replica.limit; limit.Limited && confirmed > limit.confirmedAt {
+		if l.replica.cold.applied {
+			perSecond = min(perSecond, l.set.coldRates[l.replica.record.Service])
+		}
 		limit.PerSecond, limit.learnedAt, limit.confirmedAt = perSecond, time.Now().Add(-age), confirmed
 	}
 }
@@ -134,7 +142,7 @@
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	now := time.Now()
-	l.start = now.Add(wait)
+	l.start, l.reserved = now.Add(wait), true
 	if !l.small {
 		l.set.sizesLocked(l.replica.record.Service).lower(now)
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -51,6 +51,7 @@
 	// Meanwhile it gets one request at a time.
 	probing bool
 	limit   limitState
+	cold    coldState
 	// removeAt is the time at which a replica without a record is removed; it is zero while
 	// the replica has one.
 	removeAt time.Time
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -16,6 +16,8 @@
 	onLimit func(record Record, perSecond float64)
 	// onLeaving is called without the mutex; nil for none.
 	onLeaving func([]Incarnation)
+	// onCold is called without the mutex; nil for none.
+	onCold func(i Incarnation, remaining time.Duration)
 
 	mu        sync.Mutex
 	byID      map[string]*Replica
@@ -29,6 +31,12 @@
 	leaving map[Incarnation]*leavingState
 	// evacuated holds the failure domains whose replicas get no requests.
 	evacuated map[string]*evacuatedDomain
+	// returned holds the offset of the record that ended the last evacuation of each domain.
+	returned map[string]int64
+	// coldRates and coldTimes hold the rate that the replicas of a service accept while cold, and for
+	// how long they are. A service without a rate has no cold replicas.
+	coldRates map[string]float64
+	coldTimes map[string]time.Duration
 }
 
 // NewSet returns an empty set for a host in the given failure domain.
@@ -36,7 +44,7 @@
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
 		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
 		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes), leaving: make(map[Incarnation]*leavingState),
-		evacuated: make(map[string]*evacuatedDomain)}
+		evacuated: make(map[string]*evacuatedDomain), returned: make(map[string]int64)}
 }
 
 // Put adds a replica or updates its record. A record of another incarnation, address or
@@ -51,10 +59,13 @@
 		}
 		old.record = record
 		old.removeAt = time.Time{}
+		s.coldFromRecordLocked(old, time.Now())
 		return
 	}
 	s.logChange(record, "present", true)
-	s.byID[record.ID] = newReplica(record)
+	added := newReplica(record)
+	s.byID[record.ID] = added
+	s.coldFromRecordLocked(added, time.Now())
 	s.rebuildIndexLocked()
 }
 
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -1,5 +1,7 @@
 package route
 
+import "time"
+
 // Service is a pool of upstream replicas.
 type Service struct {
 	Name       string
@@ -7,6 +9,10 @@
 	// MaxConnections is the number of connections that one replica accepts from all callers
 	// together.
 	MaxConnections int
+	// ColdPerSecond is the number of requests per second that a replica accepts from all hosts while it
+	// is cold, for ColdTime after its start; 0 if replicas need no such limit.
+	ColdPerSecond float64
+	ColdTime      time.Duration
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
