--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -14,7 +14,9 @@
 	// tokens is the memory that the request is expected to take.
 	tokens float64
 	// preferred is set if the replica may have cached the prompt.
-	preferred     bool
+	preferred bool
+	// reserved is set once a part of the replica's rate is reserved for the attempt.
+	reserved      bool
 	firstByteSeen bool
 	done          bool
 }
