replica, platform: requests with an affinity key go to the same replica

On routes with sticky_sessions, requests about one object took any replica, and the one that handled the object recently could not use what it keeps of it. X-Affinity-Key is decoded, and the replica that rendezvous hashing of the key over the usable replicas gives is preferred, the same one at all hosts without a message. It is the preference that turns have for a cached prefix, so a loaded, failing or distant replica is left as before; ejected, limited, cold, draining and leaving ones are not among the usable ones. The gain is the difference of the latencies elsewhere and there, once 20 requests of each kind have ended; retries do not count. sticky_sessions may have any form but false and null, so that an unknown one does not make the configuration invalid.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,6 +27,8 @@
 	HasProgramTime bool
 	// Session names the sequence of turns within the program.
 	Session string
+	// Affinity is the key of requests about the same object; empty if the caller sent none.
+	Affinity string
 	// PreviousTurn is the ID of the turn that this turn continues.
 	PreviousTurn string
 	// Budget is the number of tokens that the program may generate; 0 means no limit.
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -5,6 +5,9 @@
 // query returns the query for a replica that suits the request.
 func (x *exchange) query() replica.Query {
 	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Size: x.call.ExpectedTokens}
+	if x.route.Sticky {
+		q.Affinity = x.call.Affinity
+	}
 	if e := x.service.Engine; e != nil {
 		q.Work = replica.Work{PromptTokens: x.call.PromptTokens, OwnTokens: x.call.PromptTokens - x.call.SharedTokens,
 			ExpectedTokens: x.call.ExpectedTokens, MaxTokens: x.call.MaxTokens,
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -12,6 +12,9 @@
 	// the time which that saves, as a fraction of the baseline latency.
 	Prefer string
 	Gain   float64
+	// Affinity is the key of requests that should go to the same replica; empty for none. It
+	// determines Prefer and Gain unless Prefer is set.
+	Affinity string
 	// Size is the expected size of the answer, in any unit; 0 if it is unknown.
 	Size int
 	// Work is what the request takes from an engine; zero for plain services.
@@ -49,6 +52,8 @@
 	var bestRank rank
 	var bestCost float64
 	limited, accepting := 0, 0
+	sticky := q.Affinity != "" && q.Prefer == "" && q.Only == "" && len(q.Exclude) == 0
+	s.preferAffineLocked(&q, now)
 	e := s.estimateLocked(&q, now)
 	for _, r := range s.services[q.Service] {
 		if !s.feasible(r, q, now) {
@@ -80,7 +85,7 @@
 		return nil
 	}
 	lease := &Lease{set: s, replica: best, class: q.Class, start: now, small: tooSmall, work: q.Work, tokens: e.footprint,
-		preferred: best.record.ID == q.Prefer || q.Only != ""}
+		preferred: best.record.ID == q.Prefer || q.Only != "", sticky: sticky}
 	best.inflight++
 	best.tokens += e.footprint
 	s.countClassLocked(best.record.Service, q.Class, 1)
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -14,7 +14,9 @@
 	// tokens is the memory that the request is expected to take.
 	tokens float64
 	// preferred is set if the replica may have cached the prompt.
-	preferred     bool
+	preferred bool
+	// sticky is set if the preference follows from an affinity key.
+	sticky        bool
 	firstByteSeen bool
 	done          bool
 }
@@ -98,7 +100,11 @@
 		if l.work.TokensPerEvent > 0 && units > 0 {
 			l.set.lengthsLocked(l.class).observe(l.work, units*l.work.TokensPerEvent)
 		}
-		r.recordLatency(l.set.baselineLocked(l.class).observe(now.Sub(l.start)/time.Duration(max(units, 1))), now)
+		relative := l.set.baselineLocked(l.class).observe(now.Sub(l.start) / time.Duration(max(units, 1)))
+		r.recordLatency(relative, now)
+		if l.sticky {
+			l.set.affinityLocked(l.class).observe(l.preferred, relative)
+		}
 	case Broken, Reset, Unreachable:
 		if r.recordFailure(result != Broken, now) {
 			l.set.logEjection(r.record, r.ejection)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -124,6 +124,9 @@
 
 // currentFailureRate returns the failure rate, decayed since the last result.
 func (r *Replica) currentFailureRate(now time.Time) float64 {
+	if r.failureRate == 0 {
+		return 0
+	}
 	return r.failureRate * math.Exp2(-float64(now.Sub(r.failureRateAt))/float64(failureRateHalfLife))
 }
 
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -28,6 +28,8 @@
 	// lengths holds what classes of requests have shown, and demands the requests of services.
 	lengths map[string]*lengths
 	demands map[string]*demand
+	// affinities holds what affinity keys gain, by class.
+	affinities map[string]*affinity
 	// fleet holds the load of services that their owners report.
 	fleet map[string]fleetLoad
 	// leaving holds the incarnations that are about to end.
@@ -39,7 +41,8 @@
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
 		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
 		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes),
-		lengths: make(map[string]*lengths), demands: make(map[string]*demand), fleet: make(map[string]fleetLoad),
+		lengths: make(map[string]*lengths), demands: make(map[string]*demand),
+		affinities: make(map[string]*affinity), fleet: make(map[string]fleetLoad),
 		leaving: make(map[Incarnation]*leavingState)}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,6 +46,8 @@
 	// Resumable is set if a stream can be continued after any of its events, by another replica
 	// as well.
 	Resumable bool
+	// Sticky is set if requests with the same affinity key should go to the same replica.
+	Sticky bool
 	// EventGap is the maximum interval between two events for a stream to be on time.
 	EventGap time.Duration
 }
