--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowslipgw/internal/admission"
+	"cowslipgw/internal/balance"
 	"cowslipgw/internal/evacuation"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
@@ -84,6 +85,7 @@
 	client     *turns.Client
 	limiter    *quota.Limiter
 	admission  *admission.Owner
+	balance    *balance.Owner
 	pacer      *pacing.Pacer
 	quarantine *quarantine.Table
 	config     *gateway.ConfigWatcher
@@ -133,6 +135,7 @@
 	p.quarantine = quarantine.NewTable(p.table, func(n peers.Notice) { p.beacon.Broadcast(n) }, events)
 	p.admission = admission.NewOwner(p.replicas.Slots, p.table.Counts)
 	admissionClient := admission.NewClient(p.table, peerCaller, p.admission, p.replicas.InFlight)
+	p.balance = balance.NewOwner(p.replicas, p.admission)
 	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, p.receive, events)
 	if err != nil {
 		return nil, err
@@ -151,7 +154,7 @@
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Admission: admissionClient, Evacuations: p.follower,
+		Admission: admissionClient, Balancer: balance.NewClient(p.table, peerCaller, p.balance, p.replicas), Evacuations: p.follower,
 		Replicas: p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
 		Quarantine: p.quarantine, Events: events, MemoryBytes: int64(requestMemoryShare * float64(s.MemoryMB) * (1 << 20)),
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
@@ -306,6 +309,9 @@
 	if err := server.RegisterName(admission.ServiceName, admission.NewService(p.admission, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
+	if err := server.RegisterName(balance.ServiceName, balance.NewService(p.balance, p.events)); err != nil {
+		return oops.Wrapf(err, "register RPC service")
+	}
 	if err := server.RegisterName(evacuation.ServiceName, evacuation.NewService(p.evacuations, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,12 @@
 	"cowslipgw/internal/turns"
 )
 
+// Balancer assigns replicas; see balance.Client.
+type Balancer interface {
+	// Assign sets the replica that is assigned to the request of a query, if there is one.
+	Assign(ctx context.Context, q *replica.Query)
+}
+
 // Turns stores the turns of programs; see turns.Client.
 type Turns interface {
 	Begin(ctx context.Context, args turns.BeginArgs, room func(bytes int) bool) (reply turns.BeginReply, flattened bool)
@@ -34,9 +40,11 @@
 	costs  *quota.CostEstimator
 	// admission decides which programs begin; nil admits all.
 	admission ProgramAdmission
-	replicas  *replica.Set
-	pacing    *pacing.Client
-	sender    *relay.Sender
+	// balancer assigns replicas of busy services; nil if this host always chooses by itself.
+	balancer Balancer
+	replicas *replica.Set
+	pacing   *pacing.Client
+	sender   *relay.Sender
 	// evacuations is nil if requests never wait for a confirmation.
 	evacuations Evacuations
 	turns       Turns
@@ -66,9 +74,11 @@
 	Costs  *quota.CostEstimator
 	// Admission decides which programs begin; nil admits all.
 	Admission ProgramAdmission
-	Replicas  *replica.Set
-	Pacing    *pacing.Client
-	Sender    *relay.Sender
+	// Balancer assigns replicas of busy services; nil if the host always chooses by itself.
+	Balancer Balancer
+	Replicas *replica.Set
+	Pacing   *pacing.Client
+	Sender   *relay.Sender
 	// Evacuations tells whether requests may be sent; nil if they never wait for a confirmation.
 	Evacuations Evacuations
 	Turns       Turns
@@ -86,7 +96,7 @@
 func New(deps Dependencies) *Gateway {
 	stopped, giveUp := context.WithCancel(context.Background())
 	return &Gateway{stopped: stopped, giveUp: giveUp, codec: deps.Codec, config: deps.Config, quota: deps.Quota,
-		costs: deps.Costs, admission: deps.Admission, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender,
+		costs: deps.Costs, admission: deps.Admission, balancer: deps.Balancer, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender,
 		evacuations: deps.Evacuations, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
 		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Query describes the replica that an attempt needs.
 type Query struct {
@@ -12,6 +15,9 @@
 	// the time which that saves, as a fraction of the baseline latency.
 	Prefer string
 	Gain   float64
+	// Affinity is the key of requests that should go to the same replica; empty for none. It
+	// determines Prefer and Gain unless Prefer is set.
+	Affinity string
 	// Size is the expected size of the answer, in any unit; 0 if it is unknown.
 	Size int
 	// Work is what the request takes from an engine; zero for plain services.
@@ -23,6 +29,11 @@
 	// Paused selects among the replicas that accept no request for some time, instead of the
 	// others: the one that accepts one first.
 	Paused bool
+	// Assigned is the hash of the replica that the owner of the service has assigned; 0 for none. It is
+	// chosen unless this host finds it unusable. Ended is then called at the end of the lease with the
+	// time that the answer took, as a multiple of the usual time; 0 if there was no answer.
+	Assigned uint32
+	Ended    func(pace float64)
 }
 
 // rank is a group of replicas. A replica is chosen only if no feasible one has a lower rank.
@@ -49,6 +60,8 @@
 	var bestRank rank
 	var bestCost float64
 	limited, accepting := 0, 0
+	sticky := q.Affinity != "" && q.Prefer == "" && q.Only == "" && len(q.Exclude) == 0
+	s.preferAffineLocked(&q, now)
 	e := s.estimateLocked(&q, now)
 	for _, r := range s.services[q.Service] {
 		if !s.feasible(r, q, now) {
@@ -66,6 +79,9 @@
 		}
 		rank := r.rank(tooSmall, now)
 		cost := e.cost(r, now)
+		if r.hash == q.Assigned && rank == rankNormal && !e.isUnresponsive(r, now) {
+			cost = math.Inf(-1)
+		}
 		if q.Paused {
 			cost = r.limit.pausedUntil.Sub(now).Seconds()
 		}
@@ -80,7 +96,10 @@
 		return nil
 	}
 	lease := &Lease{set: s, replica: best, class: q.Class, start: now, small: tooSmall, work: q.Work, tokens: e.footprint,
-		preferred: best.record.ID == q.Prefer || q.Only != ""}
+		preferred: best.record.ID == q.Prefer || q.Only != "", sticky: sticky}
+	if q.Assigned == best.hash {
+		lease.ended = q.Ended
+	}
 	best.inflight++
 	best.tokens += e.footprint
 	s.countClassLocked(best.record.Service, q.Class, 1)
--- a/internal/replica/estimate.go
+++ b/internal/replica/estimate.go
@@ -122,6 +122,12 @@
 	return cost + jitter*e.baseline*rand.Float64()
 }
 
+// isUnresponsive reports whether an attempt in flight has waited too long for its first byte.
+func (e *estimate) isUnresponsive(r *Replica, now time.Time) bool {
+	longest, _ := r.awaited(now)
+	return longest > e.unresponsive
+}
+
 // expectedExcess returns the expected number of requests that wait if the estimated number is
 // excess, which is negative while slots are free.
 func expectedExcess(excess float64) float64 {
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -16,7 +16,11 @@
 	// preferred is set if the replica may have cached the prompt.
 	preferred bool
 	// reserved is set once a part of the replica's rate is reserved for the attempt.
-	reserved      bool
+	reserved bool
+	// sticky is set if the preference follows from an affinity key.
+	sticky bool
+	// ended is Query.Ended; nil if the replica was not assigned.
+	ended         func(pace float64)
 	firstByteSeen bool
 	done          bool
 }
@@ -80,10 +84,18 @@
 // Done ends the lease. The latency of the attempt is divided by units, the number of
 // similar units of work in it, which counts as at least 1. Further calls have no effect.
 func (l *Lease) Done(result Result, units int) {
+	if pace, isFirst := l.finish(result, units); isFirst && l.ended != nil {
+		l.ended(pace)
+	}
+}
+
+// finish is Done without the report of the end. It returns the latency as a multiple of the usual
+// one, 0 if there was no answer; isFirst is false for further calls.
+func (l *Lease) finish(result Result, units int) (pace float64, isFirst bool) {
 	l.set.mu.Lock()
 	defer l.set.mu.Unlock()
 	if l.done {
-		return
+		return 0, false
 	}
 	l.done = true
 	r := l.replica
@@ -100,7 +112,11 @@
 		if l.work.TokensPerEvent > 0 && units > 0 {
 			l.set.lengthsLocked(l.class).observe(l.work, units*l.work.TokensPerEvent)
 		}
-		r.recordLatency(l.set.baselineLocked(l.class).observe(now.Sub(l.start)/time.Duration(max(units, 1))), now)
+		pace = l.set.baselineLocked(l.class).observe(now.Sub(l.start) / time.Duration(max(units, 1)))
+		r.recordLatency(pace, now)
+		if l.sticky {
+			l.set.affinityLocked(l.class).observe(l.preferred, pace)
+		}
 	case Broken, Reset, Unreachable:
 		if r.recordFailure(result != Broken, now) {
 			l.set.logEjection(r.record, r.ejection)
@@ -110,4 +126,8 @@
 			r.recordLatency(l.set.baselineLocked(l.class).relative(now.Sub(l.start)), now)
 		}
 	}
+	return pace, true
 }
+
+// IsAssigned reports whether the replica is the one that the owner of the service has assigned.
+func (l *Lease) IsAssigned() bool { return l.ended != nil }
