--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	lease := &Lease{set: s, replica: best, class: q.Class, start: now, small: tooSmall, work: q.Work, tokens: e.footprint,
-		preferred: best.record.ID == q.Prefer || q.Only != "", sticky: sticky}
+		preferred: best.record.ID == q.Prefer || q.Only != "", sticky: sticky, expected: e.expected(best, now)}
 	best.inflight++
 	best.tokens += e.footprint
 	s.countClassLocked(best.record.Service, q.Class, 1)
--- a/internal/replica/estimate.go
+++ b/internal/replica/estimate.go
@@ -84,29 +84,49 @@
 	return e
 }
 
-// cost estimates the time until the end of the request at a replica, and by how much it delays the
-// requests that are there.
-func (e *estimate) cost(r *Replica, now time.Time) float64 {
-	slots := float64(max(r.record.Slots, 1))
-	load := r.estimatedLoad(e.othersMean, now)
-	failureRate := r.currentFailureRate(now)
-	// A replica that failed recently may have lost its cache and may fail again.
-	preferred := r.record.ID == e.query.Prefer && failureRate < maxPreferredFailureRate
+// isPreferred reports whether a replica is preferred. One that failed recently may have lost its cache
+// and may fail again.
+func (e *estimate) isPreferred(r *Replica, now time.Time) bool {
+	return r.record.ID == e.query.Prefer && r.currentFailureRate(now) < maxPreferredFailureRate
+}
 
+// end estimates the time until the end of the request at a replica with the given load at the usual
+// pace, while awaited prompt tokens are read there.
+func (e *estimate) end(r *Replica, load float64, awaited int, preferred bool) float64 {
+	slots := float64(max(r.record.Slots, 1))
 	excess := load + 1 - slots
 	if capacity := float64(e.query.Work.CacheTokens); capacity > 0 {
 		// Without memory a request waits as it does without a slot.
 		held := r.tokens + (load-float64(r.inflight))*e.meanFootprint + e.footprint
 		excess = max(excess, (held-capacity)/max(e.meanFootprint, 1))
 	}
-	longest, tokens := r.awaited(now)
-	cost := e.own + float64(tokens)*e.perToken + (expectedExcess(excess)+spreading(e.othersMean/slots))*e.duration/slots
+	end := e.own + float64(awaited)*e.perToken + expectedExcess(excess)*e.duration/slots
+	if !preferred {
+		end += e.reading
+	}
+	return end
+}
+
+// expected returns the expected time until the end of the request at a replica.
+func (e *estimate) expected(r *Replica, now time.Time) time.Duration {
+	_, awaited := r.awaited(now)
+	end := e.end(r, r.estimatedLoad(e.othersMean, now), awaited, e.isPreferred(r, now)) * r.currentPace(now)
+	return time.Duration(end * float64(time.Second))
+}
+
+// cost estimates the time until the end of the request at a replica, and by how much it delays the
+// requests that are there. The lowest cost decides.
+func (e *estimate) cost(r *Replica, now time.Time) float64 {
+	slots := float64(max(r.record.Slots, 1))
+	load := r.estimatedLoad(e.othersMean, now)
+	preferred := e.isPreferred(r, now)
+	longest, awaited := r.awaited(now)
+	cost := e.end(r, load, awaited, preferred) + spreading(e.othersMean/slots)*e.duration/slots
 	if !preferred {
-		// Reading a prompt also delays those that run there.
-		cost += e.reading * (1 + min(load, slots))
+		cost += e.reading * min(load, slots) // those that run there wait while the prompt is read
 	}
 	cost *= r.currentPace(now)
-	cost += failureCost * e.own * failureRate
+	cost += failureCost * e.own * r.currentFailureRate(now)
 	if r.record.ColdRemaining > 0 {
 		cost += warmupCost * e.own
 	}
--- a/internal/replica/herd_test.go
+++ b/internal/replica/herd_test.go
@@ -273,3 +273,16 @@
 		is.New(t).True(most <= 3*herdSlots && h.chosen["new"] > 40)
 	})
 }
+
+// TestSlowMachineInFleet guards against a queue at one slow machine: each host sees it too rarely to learn
+// its pace, but the totals show what is left there.
+func TestSlowMachineInFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHerd(1, func(s *Set) *Lease { return s.Choose(herdQuery) })
+		h.slowness["5"] = 3
+		h.run(0.75, 12*time.Second)
+		even := h.turns / herdReplicas
+		t.Logf("%d turns, an even share is %d", h.chosen["5"], even)
+		is.New(t).True(h.chosen["5"] < even/2)
+	})
+}
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -13,6 +13,8 @@
 	work  Work
 	// tokens is the memory that the request is expected to take.
 	tokens float64
+	// expected is the expected time until the end of the answer.
+	expected time.Duration
 	// preferred is set if the replica may have cached the prompt.
 	preferred bool
 	// sticky is set if the preference follows from an affinity key.
@@ -97,8 +99,15 @@
 	case Answered:
 		r.recordSuccess(now)
 		l.set.demandLocked(r.record.Service).observe(now.Sub(l.start), r.currentPace(now))
+		if l.expected > 0 {
+			timeEstimateRatio.Update(float64(now.Sub(l.start)) / float64(l.expected))
+		}
 		if l.work.TokensPerEvent > 0 && units > 0 {
-			l.set.lengthsLocked(l.class).observe(l.work, units*l.work.TokensPerEvent)
+			lengths, tokens := l.set.lengthsLocked(l.class), units*l.work.TokensPerEvent
+			if mean, _ := lengths.expected(l.work); mean > 0 {
+				lengthEstimateRatio.Update(float64(tokens) / mean)
+			}
+			lengths.observe(l.work, tokens)
 		}
 		relative := l.set.baselineLocked(l.class).observe(now.Sub(l.start) / time.Duration(max(units, 1)))
 		r.recordLatency(relative, now)
