--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -96,7 +96,7 @@
 		return nil
 	}
 	lease := &Lease{set: s, replica: best, class: q.Class, start: now, small: tooSmall, work: q.Work, tokens: e.footprint,
-		preferred: best.record.ID == q.Prefer || q.Only != "", sticky: sticky}
+		preferred: best.record.ID == q.Prefer || q.Only != "", sticky: sticky, expected: e.expected(best, now)}
 	if q.Assigned == best.hash {
 		lease.ended = q.Ended
 	}
