--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cowslipgw/internal/admission"
+	"cowslipgw/internal/balance"
 	"cowslipgw/internal/evacuation"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/forward"
@@ -27,6 +28,7 @@
 	"cowslipgw/internal/quota"
 	"cowslipgw/internal/relay"
 	"cowslipgw/internal/replica"
+	"cowslipgw/internal/route"
 	"cowslipgw/internal/storelog"
 	"cowslipgw/internal/turns"
 	"cowslipgw/platform"
@@ -80,6 +82,7 @@
 	client     *turns.Client
 	limiter    *quota.Limiter
 	admission  *admission.Owner
+	balance    *balance.Owner
 	pacer      *pacing.Pacer
 	quarantine *quarantine.Table
 	config     *gateway.ConfigWatcher
@@ -129,6 +132,7 @@
 	p.quarantine = quarantine.NewTable(p.table, func(n peers.Notice) { p.beacon.Broadcast(n) }, events)
 	p.admission = admission.NewOwner(p.replicas.Slots, p.table.Counts)
 	admissionClient := admission.NewClient(p.table, peerCaller, p.admission, p.replicas.InFlight)
+	p.balance = balance.NewOwner(p.replicas, p.admission)
 	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, p.receive, events)
 	if err != nil {
 		return nil, err
@@ -136,23 +140,30 @@
 	p.beacon.SetInFlight(func() peers.InFlightReports { return p.inFlightReports(admissionClient.Reports()) })
 	p.replicas.OnLimit(p.announceLimit)
 	p.replicas.OnLeaving(p.announceLeaving)
+	p.replicas.OnCold(p.announceCold)
 	p.evacuations = evacuation.NewKnowledge(s.EvacuationBound, p.replicas.SetEvacuated)
 	configReader := platform.NewConfigReader(store, s.AccountsEnabled, events)
 	configReader.FollowEvacuations(s, p.evacuations.LearnRead)
-	p.config = gateway.NewConfigWatcher(configReader, s.KeyFreshness, p.table.Known, limiter.Configure, events)
+	p.config = gateway.NewConfigWatcher(configReader, s.KeyFreshness, p.table.Known, p.configure, events)
 	p.follower = evacuation.NewFollower(p.evacuations, p.table, peerCaller, p.config, events)
 	p.discovery = gateway.NewDiscovery(platform.NewReplicaReader(store, events), p.replicas, p.table.Known)
 	p.pool, p.hostPool = forward.NewPool(), forward.NewPoolWith(peers.NewDialer(p.table.Self()))
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Admission: admissionClient, Evacuations: p.follower,
+		Admission: admissionClient, Balancer: balance.NewClient(p.table, peerCaller, p.balance, p.replicas), Evacuations: p.follower,
 		Replicas: p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
 		Quarantine: p.quarantine, Events: events, MemoryBytes: int64(requestMemoryShare * float64(s.MemoryMB) * (1 << 20)),
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
 	return p, nil
 }
 
+// configure applies a new version of the configuration.
+func (p *gatewayProcess) configure(t *route.Table) {
+	p.limiter.Configure(t)
+	p.replicas.Configure(t)
+}
+
 // turnLimits returns the limits of the owner of turns. Settings that are missing keep their default.
 func turnLimits(s platform.Settings) turns.Limits {
 	limits := turns.DefaultLimits()
@@ -286,6 +297,9 @@
 	if err := server.RegisterName(admission.ServiceName, admission.NewService(p.admission, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
+	if err := server.RegisterName(balance.ServiceName, balance.NewService(p.balance, p.events)); err != nil {
+		return oops.Wrapf(err, "register RPC service")
+	}
 	if err := server.RegisterName(evacuation.ServiceName, evacuation.NewService(p.evacuations, p.events)); err != nil {
 		return oops.Wrapf(err, "register RPC service")
 	}
@@ -327,6 +341,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 		writeEvacuations(w, replicas.Evacuations())
+		writeColdReplicas(w, replicas.ColdReplicas())
 	})
 	return mux
 }
--- a/internal/admission/owner.go
+++ b/internal/admission/owner.go
@@ -76,6 +76,28 @@
 	}
 }
 
+// AtReplicas returns the number of requests that all hosts have in flight at the replicas of a
+// service, by their hashes.
+func (o *Owner) AtReplicas(service string) map[uint32]int {
+	counts := make(map[uint32]int)
+	for hash, n := range o.InFlight(Hash(service)).Replicas {
+		counts[hash] = int(n)
+	}
+	return counts
+}
+
+// Heard reports whether a host has reported on a service lately.
+func (o *Owner) Heard(service, host string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.services[Hash(service)]
+	if s == nil {
+		return false
+	}
+	r, known := s.reports[host]
+	return known && o.now().Sub(r.at) <= reportLifetime
+}
+
 // InFlight returns the number of requests that all hosts have in flight at the replicas of a
 // service.
 func (o *Owner) InFlight(service uint32) peers.ServiceInFlight {
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -31,7 +31,7 @@
 // acquire returns a lease on a replica that accepts the request now. If all replicas have a rate
 // limit, it waits for the one that accepts a request first.
 func (x *exchange) acquire(ctx context.Context, q replica.Query) (*replica.Lease, error) {
-	for lease := x.g.replicas.Choose(q); lease != nil; lease = x.g.replicas.Choose(q) {
+	for lease := x.chooseAssigned(ctx, q); lease != nil; lease = x.g.replicas.Choose(q) {
 		if _, ok := x.reserve(ctx, lease, maxPreferredWait); ok {
 			return x.checkedLease(ctx, lease)
 		}
@@ -52,6 +52,19 @@
 	return x.checkedLease(ctx, lease)
 }
 
+// chooseAssigned returns a lease on the replica that the owner of the service assigns or, without one,
+// that this host chooses; nil if there is none.
+func (x *exchange) chooseAssigned(ctx context.Context, q replica.Query) *replica.Lease {
+	if x.g.balancer != nil && x.service.Engine != nil && q.Only == "" {
+		x.g.balancer.Assign(ctx, &q)
+	}
+	lease := x.g.replicas.Choose(q)
+	if q.Ended != nil && (lease == nil || !lease.IsAssigned()) {
+		q.Ended(0)
+	}
+	return lease
+}
+
 // checkedLease returns the lease of an attempt that may be sent, unless ctx ended while it
 // waited.
 func (x *exchange) checkedLease(ctx context.Context, lease *replica.Lease) (*replica.Lease, error) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -60,6 +60,7 @@
 	// Meanwhile it gets one request at a time.
 	probing bool
 	limit   limitState
+	cold    coldState
 	// removeAt is the time at which a replica without a record is removed; it is zero while
 	// the replica has one.
 	removeAt time.Time
@@ -124,6 +125,9 @@
 
 // currentFailureRate returns the failure rate, decayed since the last result.
 func (r *Replica) currentFailureRate(now time.Time) float64 {
+	if r.failureRate == 0 {
+		return 0
+	}
 	return r.failureRate * math.Exp2(-float64(now.Sub(r.failureRateAt))/float64(failureRateHalfLife))
 }
 
