replica: requests stay in the regions of their route and account

Cause: allowed_regions of routes and accounts had no effect.

Change: replica.Set.feasible passes over replicas outside the regions of the route and of the account (route.Homes), by the regions of the failure domains in the settings. A request with homes is passed on only to hosts in these regions or in that of this host. If no such host is there, nothing is concluded about the replica. The last line of a request names its homes.

--- a/cmd/cowslipgw/evacuation_test.go
+++ b/cmd/cowslipgw/evacuation_test.go
@@ -103,6 +103,16 @@
 	return ""
 }
 
+// isStopped reports whether a process was stopped by a signal.
+func isStopped(p *process) bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+	if err != nil {
+		return false
+	}
+	_, fields, _ := strings.Cut(string(status), ") ")
+	return strings.HasPrefix(fields, "T")
+}
+
 // TestEvacuationReachesAllHosts guards against hosts that send requests to an evacuated failure
 // domain: one that reaches the store, one that is cut off from it, and one that is paused while the
 // record is written. Both have callers all the time.
@@ -117,6 +127,8 @@
 	kept := s.Plain[0].ID // the only replica outside the evacuated domain
 	s.cut[cutOff].Store(true)
 	is.NoErr(s.processes[paused].Process.Signal(syscall.SIGSTOP))
+	// The signal takes effect some time after the call; a request in between would run.
+	s.waitFor("the process to be paused", func() bool { return isStopped(s.processes[paused]) })
 	is.NoErr(s.Store.Put(ctx, "op", "evacuate/z1", []byte("{}")))
 	acknowledged := time.Now()
 	late := make(chan platformtest.Reply, 1)
@@ -137,8 +149,11 @@
 	}
 	is.NoErr(s.processes[paused].Process.Signal(syscall.SIGCONT))
 	<-late
-	ranAt := s.ranAt("late")
-	is.True(ranAt == kept || ranAt == "")
+	for _, run := range s.Runs.Of("late") {
+		if after := run.Began.Sub(acknowledged); run.Replica != kept {
+			t.Fatalf("paused host: request ran at %s %v after the record", run.Replica, after)
+		}
+	}
 	s.waitFor("the paused host to serve", func() bool {
 		status, ranAt := s.call(paused)
 		is.True(ranAt == kept || ranAt == "")
--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -130,6 +130,7 @@
 	var err error
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
 	p.replicas = replica.NewSet(s.Domain, events)
+	p.replicas.SetRegions(s.Regions())
 	p.quarantine = quarantine.NewTable(p.table, func(n peers.Notice) { p.beacon.Broadcast(n) }, events)
 	p.admission = admission.NewOwner(p.replicas.Slots, p.table.Counts)
 	admissionClient := admission.NewClient(p.table, peerCaller, p.admission, p.replicas.InFlight)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,7 +122,7 @@
 	priority, hasPriority := x.turnPriority()
 	x.g.codec.Encode(header, Attempt{Remaining: time.Until(x.deadline), Instance: record.ID, Account: x.accountName(), After: x.after,
 		Priority: priority, HasPriority: hasPriority})
-	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline, Paced: lease.Reserved(),
+	request := &relay.Request{ID: x.call.ID, Replica: record, Deadline: x.deadline, Paced: lease.Reserved(), MayPassOn: x.mayPassOn(),
 		Request: forward.Request{Method: x.call.Method, URI: x.call.URI, Host: x.call.Host, Header: header, MaySend: x.g.maySend(lease.CheckSend),
 			Repeatable: x.route.Kind == route.Safe || x.route.Resumable,
 			Body:       body, HasBody: x.call.HasBody}}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -147,6 +147,9 @@
 		fields["route"], fields["config"] = x.route.Name, x.table.Version
 		fields["config_age_ms"] = x.g.config.age().Milliseconds()
 		fields["account"] = x.accountName()
+		if homes := x.homes(); len(homes) > 0 {
+			fields["homes"] = homes
+		}
 	}
 	if x.attempts > 0 {
 		fields["replica"], fields["attempts"] = x.replica, x.attempts
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -30,7 +30,7 @@
 
 // servePlain serves a request on a route that does not store turns.
 func (x *exchange) servePlain(ctx context.Context) {
-	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Size: x.call.ExpectedTokens}
+	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Size: x.call.ExpectedTokens, Homes: x.homes()}
 	body := [][]byte{x.body}
 	for {
 		a, err := x.startStream(ctx, body, q)
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -102,7 +102,7 @@
 	if x.service.Engine != nil {
 		t.tokensPerEvent = max(x.service.Engine.TokensPerEvent, 1)
 	}
-	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Prefer: begun.Replica, Size: x.call.ExpectedTokens,
+	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Prefer: begun.Replica, Size: x.call.ExpectedTokens, Homes: x.homes(),
 		Gain: minPreviousReplicaGain + float64(x.call.PromptTokens-x.call.SharedTokens)/prefillTokensPerMS/eventMS}
 	body := [][]byte{begun.Chain, x.body}
 	a, err := x.startStream(ctx, body, q)
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowslipgw/internal/forward"
+	"cowslipgw/internal/peers"
 	"cowslipgw/internal/replica"
 )
 
@@ -20,6 +21,8 @@
 	Deadline time.Time
 	// Paced is set if a part of the replica's rate is reserved for the request.
 	Paced bool
+	// MayPassOn reports whether the request may be passed on to another host; nil if all may have it.
+	MayPassOn func(h peers.Host) bool
 }
 
 // Headers that hosts add to requests and answers which they pass on for each other.
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -18,12 +18,20 @@
 // maxRelays is the number of other hosts that are tried for one request.
 const maxRelays = 2
 
+// maxHosts is more than the number of hosts of a deployment.
+const maxHosts = 1000
+
 var requestsRelayed = metrics.NewCounter("cowslipgw_requests_through_other_hosts_total")
 
 // sendThrough has another host send the request. A further host is tried if nothing was sent.
 func (s *Sender) sendThrough(ctx context.Context, r *Request, matches Matches) (answer *forward.Answer, through string, err error) {
 	isDown := false
-	for _, h := range s.hosts.Relays(r.Replica.Domain, maxRelays) {
+	hosts := s.relaysFor(r)
+	if len(hosts) == 0 && r.MayPassOn != nil {
+		// No host was asked, which says nothing about the replica.
+		return nil, "", forward.ErrUnreachable
+	}
+	for _, h := range hosts {
 		answer, err = s.sendTo(ctx, h, r, matches)
 		switch {
 		case err == nil:
@@ -46,6 +54,20 @@
 	return nil, "", forward.ErrUnreachable
 }
 
+// relaysFor returns the hosts that are tried for a request.
+func (s *Sender) relaysFor(r *Request) []peers.Host {
+	if r.MayPassOn == nil {
+		return s.hosts.Relays(r.Replica.Domain, maxRelays)
+	}
+	var allowed []peers.Host
+	for _, h := range s.hosts.Relays(r.Replica.Domain, maxHosts) {
+		if len(allowed) < maxRelays && r.MayPassOn(h) {
+			allowed = append(allowed, h)
+		}
+	}
+	return allowed
+}
+
 // sendTo has one host send the request.
 func (s *Sender) sendTo(ctx context.Context, h peers.Host, r *Request, matches Matches) (*forward.Answer, error) {
 	request := r.Request
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"cowslipgw/internal/route"
 )
 
 const (
@@ -49,6 +51,8 @@
 	Gain   float64
 	// Size is the expected size of the answer, in any unit; 0 if it is unknown.
 	Size int
+	// Homes restrict the regions of the replicas.
+	Homes route.Homes
 	// Only, if set, is the ID of the only replica that may be chosen.
 	Only string
 	// Exclude holds the IDs of replicas that were already tried.
@@ -133,7 +137,8 @@
 
 // feasible reports whether the attempt may be sent to a replica.
 func (s *Set) feasible(r *Replica, q Query, now time.Time) bool {
-	if (!r.removeAt.IsZero() && now.After(r.removeAt)) || s.isEvacuatedLocked(r.record) {
+	if (!r.removeAt.IsZero() && now.After(r.removeAt)) || s.isEvacuatedLocked(r.record) ||
+		!q.Homes.Allow(s.regions[r.record.Domain]) {
 		return false
 	}
 	s.updateColdLocked(r, now)
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -11,7 +11,9 @@
 // Set holds the replicas of all services. Its methods are safe for concurrent use.
 type Set struct {
 	domain string
-	events *event.Logger
+	// regions holds the region of each failure domain.
+	regions map[string]string
+	events  *event.Logger
 	// onLimit is called without the mutex; nil for none.
 	onLimit func(record Record, perSecond float64)
 	// onLeaving is called without the mutex; nil for none.
--- a/internal/route/account.go
+++ b/internal/route/account.go
@@ -11,6 +11,8 @@
 	// rate of 0 means no limit.
 	Rate  float64
 	Burst float64
+	// Homes are the regions to which the account's requests are restricted; empty for none.
+	Homes []string
 }
 
 // Limits are size limits for callers' requests.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,6 +46,8 @@
 	// Resumable is set if a stream can be continued after any of its events, by another replica
 	// as well.
 	Resumable bool
+	// Homes are the regions to which requests are restricted; empty for none.
+	Homes []string
 	// EventGap is the maximum interval between two events for a stream to be on time.
 	EventGap time.Duration
 }
