--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -4,7 +4,7 @@
 
 // query returns the query for a replica that suits the request.
 func (x *exchange) query() replica.Query {
-	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Size: x.call.ExpectedTokens}
+	q := replica.Query{Service: x.service.Name, Class: x.route.Name, Size: x.call.ExpectedTokens, Homes: x.homes()}
 	if x.route.Sticky {
 		q.Affinity = x.call.Affinity
 	}
--- a/internal/replica/choose.go
+++ b/internal/replica/choose.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"cowslipgw/internal/route"
 )
 
 // Query describes the replica that an attempt needs.
@@ -22,6 +24,8 @@
 	Size int
 	// Work is what the request takes from an engine; zero for plain services.
 	Work Work
+	// Homes restrict the regions of the replicas.
+	Homes route.Homes
 	// Only, if set, is the ID of the only replica that may be chosen.
 	Only string
 	// Exclude holds the IDs of replicas that were already tried.
@@ -122,7 +126,8 @@
 
 // feasible reports whether the attempt may be sent to a replica.
 func (s *Set) feasible(r *Replica, q Query, now time.Time) bool {
-	if (!r.removeAt.IsZero() && now.After(r.removeAt)) || s.isEvacuatedLocked(r.record) {
+	if (!r.removeAt.IsZero() && now.After(r.removeAt)) || s.isEvacuatedLocked(r.record) ||
+		!q.Homes.Allow(s.regions[r.record.Domain]) {
 		return false
 	}
 	s.updateColdLocked(r, now)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -48,6 +48,8 @@
 	Resumable bool
 	// Sticky is set if requests with the same affinity key should go to the same replica.
 	Sticky bool
+	// Homes are the regions to which requests are restricted; empty for none.
+	Homes []string
 	// EventGap is the maximum interval between two events for a stream to be on time.
 	EventGap time.Duration
 }
