turns: a turn begins at its former owner while an outage is noticed

Cause: hosts notice an outage of the store one after the other. While at least half of them say that they reach it, partitions move away from those that do not, to hosts that cannot load them. There running programs were refused, although their owners held recorded preallocations.

Change: if no candidate can decide, the host asks the first candidate in the order that disregards the store, with the new field PreallocatedOnly. That owner grants at once from its preallocation or refuses, and writes nothing. Hosts of earlier builds ignore the field.

Measured: TestProgramContinuesAtFormerOwner, with a fake store and the partition at another host, was Unavailable and is Granted for the two turns that are preallocated; the third, and a program without a record, are refused, and the budget holds at the next owner. Not measured on a fleet.

--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -128,7 +128,8 @@
 	uncertain := false
 	args.MaxChain = maxChain
 	var owner peers.Host
-	c.tryCandidates(ctx, PartitionOf(args.Account, args.Program), func(ctx context.Context, h peers.Host) (bool, error) {
+	partition := PartitionOf(args.Account, args.Program)
+	call := func(ctx context.Context, h peers.Host) (bool, error) {
 		// Use a separate reply for each call: a late one must not overwrite the next
 		// owner's.
 		var got BeginReply
@@ -141,7 +142,17 @@
 		reply, owner = got, h
 		uncertain = uncertain || got.Uncertain
 		return reply.Outcome != Unavailable, nil
-	})
+	}
+	tried := c.tryCandidates(ctx, partition, call)
+	if former := c.hosts.StorelessCandidates(partitionKey(partition), 1); reply.Outcome == Unavailable && len(former) > 0 && !tried[former[0].ID] {
+		// Hosts notice an outage of the store one after the other. Until most of them have, a
+		// partition moves to a host that cannot load it, while its owner has preallocations.
+		args.PreallocatedOnly = true
+		attempt, cancel := context.WithTimeout(ctx, c.ownerTimeout())
+		// A refusal or an error leaves the reply as it is.
+		_, _ = call(attempt, former[0])
+		cancel()
+	}
 	if reply.Outcome == Granted {
 		var outcome Outcome
 		if reply.Chain, outcome = c.completeChain(ctx, owner, args.Account, args.Parent, reply.Chain, reply.ChainBytes, room); outcome != Located {
@@ -181,25 +192,27 @@
 
 // tryCandidates calls the candidate owners of a partition in order until one decides. It
 // stops at an owner that answers without a decision and is still the first candidate: that
-// owner is about to load the partition, and the others would only load it, too.
-func (c *Client) tryCandidates(ctx context.Context, partition int, call func(context.Context, peers.Host) (decided bool, err error)) {
-	tried := make(map[string]bool)
+// owner is about to load the partition, and the others would only load it, too. It returns the IDs of
+// the hosts that were called.
+func (c *Client) tryCandidates(ctx context.Context, partition int, call func(context.Context, peers.Host) (decided bool, err error)) (tried map[string]bool) {
+	tried = make(map[string]bool)
 	for len(tried) < maxCandidates && ctx.Err() == nil {
 		next := c.nextCandidate(partition, tried)
 		if next == nil {
-			return
+			return tried
 		}
 		tried[next.ID] = true
 		attempt, cancel := context.WithTimeout(ctx, c.ownerTimeout())
 		decided, err := call(attempt, *next)
 		cancel()
 		if decided && err == nil {
-			return
+			return tried
 		}
 		if err == nil && c.isFirst(partition, next.ID) {
-			return
+			return tried
 		}
 	}
+	return tried
 }
 
 // nextCandidate returns the best candidate that was not tried yet, or nil.
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -43,6 +43,10 @@
 	// MaxChain is the number of bytes of the history that the reply may contain; 0 means all of
 	// it, as hosts of earlier builds need.
 	MaxChain int
+	// PreallocatedOnly is set if the turn may begin only within a preallocation that the owner
+	// holds. The owner replies at once, with Granted or Unavailable, and does not use the store.
+	// Hosts of earlier builds decide as for other calls.
+	PreallocatedOnly bool
 }
 
 // BeginReply is the response to BeginArgs.
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -75,6 +75,9 @@
 // Begin decides whether a turn may begin, and reserves its tokens.
 func (o *Owner) Begin(ctx context.Context, args BeginArgs) BeginReply {
 	p := o.partitions[PartitionOf(args.Account, args.Program)]
+	if args.PreallocatedOnly {
+		return o.beginPreallocated(p, args)
+	}
 	if !o.ensureLoaded(ctx, p) {
 		return BeginReply{Outcome: Unavailable}
 	}
@@ -129,6 +132,19 @@
 	return reply
 }
 
+// beginPreallocated decides whether a turn may begin within the preallocation.
+func (o *Owner) beginPreallocated(p *partition, args BeginArgs) BeginReply {
+	// A history may have to be read from the store.
+	if args.Parent != "" {
+		return BeginReply{Outcome: Unavailable}
+	}
+	reply, _, _ := o.decide(p, args)
+	if reply.Outcome != Granted {
+		return BeginReply{Outcome: Unavailable}
+	}
+	return reply
+}
+
 // outcomeOf returns the outcome of a completed reservation.
 func (p *partition) outcomeOf(c *change) Outcome {
 	p.mu.Lock()
@@ -234,6 +250,9 @@
 		g.expiry = max(g.expiry, t.Expiry)
 		return reply, history, nil
 	}
+	if args.PreallocatedOnly {
+		return BeginReply{Outcome: Unavailable}, nil, nil
+	}
 	// If no write is in progress, this change is written in spite of earlier failures, since
 	// its append detects that the store has recovered.
 	if p.writing && p.failingForLocked(appendFailureLimit) {
