gateway: expected costs of programs by whether their turns are stored

Cause: since timed turns on routes that store none count as turns, the estimate for programs on routes that store turns no longer contained them, and became lower. Change: one estimate for each of the two, which counts the turns of the other as requests, as before. A program without a budget is asked for as well.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -209,7 +209,7 @@
 func (x *exchange) admitRate(ctx context.Context, startsProgram bool) *refusal {
 	r := quota.Request{Urgent: x.priority() == 0}
 	if startsProgram {
-		r.Start, r.Cost = true, x.g.costs.Estimate(x.route.Name)
+		r.Start, r.Cost = true, x.expectedCost()
 	}
 	reply, grant := x.g.quota.Admit(ctx, x.account, x.table.Version, r)
 	for !reply.Admitted && !r.Start && ctx.Err() == nil && time.Since(x.start)+reply.RetryAfter <= maxRateWait {
@@ -239,11 +239,25 @@
 func (x *exchange) recordCost() {
 	switch {
 	case !x.admitted:
-	case x.route.StoresTurns || x.ratedAfterBegin():
+	case x.route.StoresTurns:
 		x.g.costs.RecordTurn(x.route.Name, x.startsProgram)
+		x.g.unstoredCosts.RecordRequest()
+	case x.ratedAfterBegin():
+		x.g.unstoredCosts.RecordTurn(x.route.Name, x.startsProgram)
+		x.g.costs.RecordRequest()
 	case x.call.Program != "":
 		x.g.costs.RecordRequest()
+		x.g.unstoredCosts.RecordRequest()
+	}
+}
+
+// expectedCost returns the number of requests that a program which starts with this one is expected
+// to need.
+func (x *exchange) expectedCost() float64 {
+	if x.route.StoresTurns {
+		return x.g.costs.Estimate(x.route.Name)
 	}
+	return x.g.unstoredCosts.Estimate(x.route.Name)
 }
 
 // priority returns the priority of the request; 0 is served first.
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -47,7 +47,7 @@
 // isTurn reports whether the request is a turn of a program: its route stores turns, or its
 // tokens count against a budget.
 func (x *exchange) isTurn() bool {
-	return x.route.StoresTurns || (x.route.Kind == route.Streaming && x.call.Budget > 0)
+	return x.route.StoresTurns || (x.route.Kind == route.Streaming && (x.call.Budget > 0 || x.isTimedTurn() && x.call.Program != ""))
 }
 
 // retention returns how long the record of a turn is retained. Without stored turns, records
