--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"cowslipgw/internal/boottime"
@@ -8,13 +9,13 @@
 )
 
 const (
-	// paceWeight is the weight of a new answer in the moving average of a replica's pace. The fleet
-	// gets some twenty answers of a replica in a second, and other users slow a machine for about
-	// 600 ms.
+	// paceWeight is the weight of a new answer in the moving average of a replica's pace, at least; it
+	// grows with the time since the last one, by paceTime. Other users slow a machine for about 600 ms.
 	paceWeight = 0.12
+	paceTime   = 600 * time.Millisecond
 	// paceLifetime is the age at which a pace no longer counts, so that a slow replica which gets no
 	// requests is tried again.
-	paceLifetime = 3 * time.Second
+	paceLifetime = 2 * time.Second
 	// maxPace limits a single sample, so that one long request has little effect.
 	maxPace = 6
 	// crossDomainCost prefers replicas in the failure domain of the host: a round trip between domains
@@ -145,7 +146,8 @@
 		if s.pace == 0 {
 			s.pace = 1
 		}
-		s.pace += paceWeight * (min(pace, maxPace) - s.pace)
+		weight := max(paceWeight, 1-math.Exp(-float64(now.Sub(s.paceAt))/float64(paceTime)))
+		s.pace += weight * (min(pace, maxPace) - s.pace)
 		s.paceAt = now
 	}
 	p.Release(id)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -199,9 +199,10 @@
 
 // ratedAfterBegin reports whether the request is charged to the client account's quota only once its
 // turn is granted: on routes that store no turns, only the owner of the program knows whether this is
-// its first turn.
+// its first turn. Where other routes store turns, the expected number of requests of a program holds
+// only for those, since tool calls do not tell which route the turns of their program have.
 func (x *exchange) ratedAfterBegin() bool {
-	return !x.route.StoresTurns && x.isTurn() && x.isTimedTurn()
+	return !x.table.StoresTurns() && x.isTurn() && x.isTimedTurn()
 }
 
 // admitRate charges the request to the client account's quota. StartsProgram is set for the first
@@ -209,7 +210,7 @@
 func (x *exchange) admitRate(ctx context.Context, startsProgram bool) *refusal {
 	r := quota.Request{Urgent: x.priority() == 0}
 	if startsProgram {
-		r.Start, r.Cost = true, x.expectedCost()
+		r.Start, r.Cost = true, x.g.costs.Estimate(x.route.Name)
 	}
 	reply, grant := x.g.quota.Admit(ctx, x.account, x.table.Version, r)
 	for !reply.Admitted && !r.Start && ctx.Err() == nil && time.Since(x.start)+reply.RetryAfter <= maxRateWait {
@@ -239,25 +240,11 @@
 func (x *exchange) recordCost() {
 	switch {
 	case !x.admitted:
-	case x.route.StoresTurns:
+	case x.route.StoresTurns || x.ratedAfterBegin():
 		x.g.costs.RecordTurn(x.route.Name, x.startsProgram)
-		x.g.unstoredCosts.RecordRequest()
-	case x.ratedAfterBegin():
-		x.g.unstoredCosts.RecordTurn(x.route.Name, x.startsProgram)
-		x.g.costs.RecordRequest()
 	case x.call.Program != "":
 		x.g.costs.RecordRequest()
-		x.g.unstoredCosts.RecordRequest()
-	}
-}
-
-// expectedCost returns the number of requests that a program which starts with this one is expected
-// to need.
-func (x *exchange) expectedCost() float64 {
-	if x.route.StoresTurns {
-		return x.g.costs.Estimate(x.route.Name)
 	}
-	return x.g.unstoredCosts.Estimate(x.route.Name)
 }
 
 // priority returns the priority of the request; 0 is served first.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,9 +38,6 @@
 	config *ConfigWatcher
 	quota  *quota.Client
 	costs  *quota.CostEstimator
-	// unstoredCosts is the estimate for programs on routes that store no turns. Each estimate counts
-	// the turns of the other as further requests, which covers programs that need more than the mean.
-	unstoredCosts *quota.CostEstimator
 	// admission decides which programs begin; nil admits all.
 	admission ProgramAdmission
 	// balancer assigns replicas of busy services; nil if this host always chooses by itself.
@@ -99,7 +96,7 @@
 func New(deps Dependencies) *Gateway {
 	stopped, giveUp := context.WithCancel(context.Background())
 	return &Gateway{stopped: stopped, giveUp: giveUp, codec: deps.Codec, config: deps.Config, quota: deps.Quota,
-		costs: deps.Costs, unstoredCosts: quota.NewCostEstimator(), admission: deps.Admission, balancer: deps.Balancer, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender,
+		costs: deps.Costs, admission: deps.Admission, balancer: deps.Balancer, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender,
 		evacuations: deps.Evacuations, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
 		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -11,6 +11,8 @@
 	routes   map[string][]*Route
 	keys     map[string]*Account
 	accounts map[string]*Account
+	// storesTurns is set if at least one route stores turns.
+	storesTurns bool
 	// requireKeys is set if routes that are not public require an API key.
 	requireKeys bool
 }
@@ -29,6 +31,7 @@
 	}
 	for _, r := range routes {
 		t.routes[r.Host] = append(t.routes[r.Host], r)
+		t.storesTurns = t.storesTurns || r.StoresTurns
 	}
 	for _, s := range services {
 		t.Services[s.Name] = s
@@ -42,6 +45,9 @@
 	return t
 }
 
+// StoresTurns reports whether at least one route stores turns.
+func (t *Table) StoresTurns() bool { return t.storesTurns }
+
 // Match returns the route on host with the longest prefix of path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	var best *Route
