--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -72,8 +72,12 @@
 // Current reports whether requests may be sent at this moment.
 func (f *Follower) Current() bool { return f.knowledge.Current() }
 
-// Run asks other hosts while the store is lost, until ctx ends.
+// Run asks other hosts while the store is lost, until ctx ends. Without a bound for evacuations it
+// returns at once.
 func (f *Follower) Run(ctx context.Context) {
+	if !f.knowledge.isBounded() {
+		return
+	}
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/evacuation/knowledge.go
+++ b/internal/evacuation/knowledge.go
@@ -79,6 +79,9 @@
 	k.state, k.known, k.learnedAt = s, true, k.now()
 }
 
+// isBounded reports whether the knowledge must be confirmed from time to time.
+func (k *Knowledge) isBounded() bool { return k.maxAge > 0 }
+
 // Current reports whether every evacuation that must have taken effect is known, so that requests
 // may be sent.
 func (k *Knowledge) Current() bool {
