gateway: hosts coordinate a service only where its replicas report their pace

Change: admission, balance, turn priorities and the reports between hosts are on where the load header has its fourth figure, which the earlier deployments do not send.

--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -55,7 +55,7 @@
 // chooseAssigned returns a lease on the replica that the owner of the service assigns or, without one,
 // that this host chooses; nil if there is none.
 func (x *exchange) chooseAssigned(ctx context.Context, q replica.Query) *replica.Lease {
-	if x.g.balancer != nil && x.service.Engine != nil && q.Only == "" {
+	if x.g.balancer != nil && x.coordinated && q.Only == "" {
 		x.g.balancer.Assign(ctx, &q)
 	}
 	lease := x.g.replicas.Choose(q)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -294,5 +294,6 @@
 	if x.service = table.Services[name]; x.service == nil {
 		x.service = &route.Service{Name: name}
 	}
+	x.coordinated = x.service.Engine != nil && x.g.coordinated(name)
 	return nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -28,7 +28,9 @@
 	route   *route.Route
 	account *route.Account
 	service *route.Service
-	body    []byte
+	// coordinated is set if the hosts coordinate what they send to the service.
+	coordinated bool
+	body        []byte
 	// memory is what is reserved for a long body and a long history.
 	memory reservation
 	// digests are computed when they are first needed; nil before.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,8 @@
 	costs  *quota.CostEstimator
 	// admission decides which programs begin; nil admits all.
 	admission ProgramAdmission
+	// coordinated reports whether the hosts coordinate what they send to a service with engines.
+	coordinated func(service string) bool
 	// balancer assigns replicas of busy services; nil if this host always chooses by itself.
 	balancer Balancer
 	replicas *replica.Set
@@ -74,6 +76,9 @@
 	Costs  *quota.CostEstimator
 	// Admission decides which programs begin; nil admits all.
 	Admission ProgramAdmission
+	// Coordinated reports whether the hosts coordinate what they send to a service with engines: which
+	// programs begin, where their turns go and in which order. Nil means all services.
+	Coordinated func(service string) bool
 	// Balancer assigns replicas of busy services; nil if the host always chooses by itself.
 	Balancer Balancer
 	Replicas *replica.Set
@@ -94,9 +99,12 @@
 
 // New returns a gateway that uses the given dependencies.
 func New(deps Dependencies) *Gateway {
+	if deps.Coordinated == nil {
+		deps.Coordinated = func(string) bool { return true }
+	}
 	stopped, giveUp := context.WithCancel(context.Background())
 	return &Gateway{stopped: stopped, giveUp: giveUp, codec: deps.Codec, config: deps.Config, quota: deps.Quota,
-		costs: deps.Costs, admission: deps.Admission, balancer: deps.Balancer, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender,
+		costs: deps.Costs, admission: deps.Admission, balancer: deps.Balancer, coordinated: deps.Coordinated, replicas: deps.Replicas, pacing: deps.Pacing, sender: deps.Sender,
 		evacuations: deps.Evacuations, turns: deps.Turns, events: deps.Events, memory: newMemoryBudget(deps.MemoryBytes),
 		quarantine: deps.Quarantine, crashes: newCrashDetector(deps.Sender, deps.Quarantine, deps.Events),
 		storeReachableElsewhere: deps.StoreReachableElsewhere}
--- a/internal/gateway/program.go
+++ b/internal/gateway/program.go
@@ -14,10 +14,10 @@
 	Admit(ctx context.Context, r admission.Request) admission.Decision
 }
 
-// isTimedTurn reports whether the request is a turn, at an engine, of a program that says when it
-// should be finished.
+// isTimedTurn reports whether the request is a turn, at an engine of a coordinated service, of a
+// program that says when it should be finished.
 func (x *exchange) isTimedTurn() bool {
-	return x.route.Kind == route.Streaming && x.service.Engine != nil && x.call.HasProgramTime
+	return x.route.Kind == route.Streaming && x.coordinated && x.call.HasProgramTime
 }
 
 // programTimeLeft returns the time until the program should be finished.
--- a/internal/replica/inflight.go
+++ b/internal/replica/inflight.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -50,6 +51,21 @@
 	return loads
 }
 
+// ReportsPace reports whether the replicas of a service say how long work takes there at present, since
+// they share their machines with others. What such a service can do varies, so that the hosts
+// coordinate what they send to it.
+func (s *Set) ReportsPace(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paced[service]
+}
+
+// PacedInFlight is InFlight without the services whose replicas report no pace.
+func (s *Set) PacedInFlight() []ServiceLoad {
+	loads := s.InFlight()
+	return slices.DeleteFunc(loads, func(l ServiceLoad) bool { return !s.ReportsPace(l.Service) })
+}
+
 // Slots returns the number of requests that the usable replicas of a service run at the same time.
 func (s *Set) Slots(service string) int {
 	s.mu.Lock()
--- a/internal/replica/lease.go
+++ b/internal/replica/lease.go
@@ -81,6 +81,9 @@
 	r, now := l.replica, time.Now()
 	r.others, r.othersAt = float64(max(load.Running+load.Waiting-r.inflight, 0)), now
 	r.pace.observe(load.Pace, now)
+	if load.Pace > 0 {
+		l.set.paced[r.record.Service] = true
+	}
 }
 
 // Done ends the lease. The latency of the attempt is divided by units, the number of
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -34,6 +34,8 @@
 	demands map[string]*demand
 	// affinities holds what affinity keys gain, by class.
 	affinities map[string]*affinity
+	// paced holds the services whose replicas have reported a pace.
+	paced map[string]bool
 	// fleet holds the load of services that their owners report.
 	fleet map[string]fleetLoad
 	// leaving holds the incarnations that are about to end.
@@ -53,7 +55,7 @@
 	return &Set{domain: domain, events: events, byID: make(map[string]*Replica),
 		services: make(map[string][]*Replica), baselines: make(map[string]*baseline),
 		classes: make(map[serviceClass]int), sizes: make(map[string]*sizes), lengths: make(map[string]*lengths),
-		demands: make(map[string]*demand), affinities: make(map[string]*affinity), fleet: make(map[string]fleetLoad),
+		demands: make(map[string]*demand), affinities: make(map[string]*affinity), paced: make(map[string]bool), fleet: make(map[string]fleetLoad),
 		leaving: make(map[Incarnation]*leavingState), evacuated: make(map[string]*evacuatedDomain),
 		returned: make(map[string]int64)}
 }
