--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -109,6 +109,9 @@
 // Admit decides whether a program may begin now.
 func (p *Pool) Admit(now boottime.Instant, r Request) Decision {
 	p.advance(now)
+	if p.slots == 0 {
+		return p.decision(Admitted, 0) // without a replica, the choice of one refuses the turn
+	}
 	pl := p.place(now, r)
 	switch {
 	case pl.begun:
@@ -123,7 +126,8 @@
 	k := pl.kind
 	share, guaranteed, overloaded := p.share(k)
 	free, freeOfShare := p.limit(k, guaranteed)-p.used(), share-p.usedBy(k)
-	if min(free, freeOfShare) >= firstSlots && (!overloaded || k.nextPlace <= now) {
+	fits := min(free, freeOfShare) >= firstSlots && (!overloaded || k.nextPlace <= now)
+	if fits || p.used() == 0 {
 		return p.begin(now, pl, k)
 	}
 	// The places of this kind become free at the rate at which its programs end.
