--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -129,10 +129,13 @@
 	var err error
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
 	p.replicas = replica.NewSet(s.Domain, events)
+	if s.ScarceCapacity {
+		p.replicas.CoordinateAll()
+	}
 	p.replicas.SetRegions(s.Regions())
 	p.quarantine = quarantine.NewTable(p.table, func(n peers.Notice) { p.beacon.Broadcast(n) }, events)
 	p.admission = admission.NewOwner(p.replicas.Slots, p.table.Counts)
-	admissionClient := admission.NewClient(p.table, peerCaller, p.admission, p.replicas.PacedInFlight)
+	admissionClient := admission.NewClient(p.table, peerCaller, p.admission, p.replicas.CoordinatedInFlight)
 	p.balance = balance.NewOwner(p.replicas, p.admission)
 	p.beacon, err = peers.NewBeacon(p.table, quotaClient.UsageReports, p.receive, events)
 	if err != nil {
@@ -152,7 +155,7 @@
 	p.sender = relay.NewSender(p.table, p.pool, p.hostPool, events)
 	p.table.SetStranded(p.sender.Stranded)
 	p.gateway = gateway.New(gateway.Dependencies{Codec: platform.Codec{}, Config: p.config, Quota: quotaClient, Costs: quota.NewCostEstimator(),
-		Admission: admissionClient, Coordinated: p.replicas.ReportsPace, Balancer: balance.NewClient(p.table, peerCaller, p.balance, p.replicas), Evacuations: p.follower,
+		Admission: admissionClient, Coordinated: p.replicas.Coordinated, Balancer: balance.NewClient(p.table, peerCaller, p.balance, p.replicas), Evacuations: p.follower,
 		Replicas: p.replicas, Pacing: pacing.NewClient(p.table, peerCaller, p.pacer), Sender: p.sender, Turns: p.client,
 		Quarantine: p.quarantine, Events: events, MemoryBytes: int64(requestMemoryShare * float64(s.MemoryMB) * (1 << 20)),
 		StoreReachableElsewhere: p.table.StoreReachableElsewhere})
--- a/internal/replica/inflight.go
+++ b/internal/replica/inflight.go
@@ -51,19 +51,23 @@
 	return loads
 }
 
-// ReportsPace reports whether the replicas of a service say how long work takes there at present, since
-// they share their machines with others. What such a service can do varies, so that the hosts
-// coordinate what they send to it.
-func (s *Set) ReportsPace(service string) bool {
+// CoordinateAll sets that the hosts coordinate what they send to all services. It must be called before
+// the set is used.
+func (s *Set) CoordinateAll() { s.coordinateAll = true }
+
+// Coordinated reports whether the hosts coordinate what they send to a service: all of them, or those
+// whose replicas say how long work takes there at present, since they share their machines with
+// others and what they can do varies.
+func (s *Set) Coordinated(service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.paced[service]
+	return s.coordinateAll || s.paced[service]
 }
 
-// PacedInFlight is InFlight without the services whose replicas report no pace.
-func (s *Set) PacedInFlight() []ServiceLoad {
+// CoordinatedInFlight is InFlight without the services that are not coordinated.
+func (s *Set) CoordinatedInFlight() []ServiceLoad {
 	loads := s.InFlight()
-	return slices.DeleteFunc(loads, func(l ServiceLoad) bool { return !s.ReportsPace(l.Service) })
+	return slices.DeleteFunc(loads, func(l ServiceLoad) bool { return !s.Coordinated(l.Service) })
 }
 
 // Slots returns the number of requests that the usable replicas of a service run at the same time.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -34,6 +34,8 @@
 	demands map[string]*demand
 	// affinities holds what affinity keys gain, by class.
 	affinities map[string]*affinity
+	// coordinateAll is set if the hosts coordinate what they send to all services.
+	coordinateAll bool
 	// paced holds the services whose replicas have reported a pace.
 	paced map[string]bool
 	// fleet holds the load of services that their owners report.
