event: lines logged while the queue closes are dropped

Cause: TestSignalsDoNotCutStop failed once under -race: a reload was logged after the queue of log lines was closed at the end of a planned stop, and the process ended with "send on closed channel". Change: the queue drops later lines. TestWriteAfterClose panicked before.

--- a/internal/event/queue.go
+++ b/internal/event/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -12,6 +13,10 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	done    chan struct{}
+
+	// mu guards closed, and lines against a write after its end.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // NewQueue returns a queue that buffers up to size lines for w. The caller must call
@@ -30,6 +35,12 @@
 
 // Write implements io.Writer. It copies the line and never returns an error.
 func (q *Queue) Write(line []byte) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		q.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
@@ -41,9 +52,14 @@
 // Dropped returns the number of lines dropped so far.
 func (q *Queue) Dropped() uint64 { return q.dropped.Load() }
 
-// Close stops the queue after all queued lines are written. Write must not be called
-// during or after Close.
+// Close stops the queue after all queued lines are written. Later lines are dropped: background
+// tasks may still log while the process exits. Further calls of Close have no effect.
 func (q *Queue) Close() {
-	close(q.lines)
+	q.mu.Lock()
+	if !q.closed {
+		q.closed = true
+		close(q.lines)
+	}
+	q.mu.Unlock()
 	<-q.done
 }
