--- a/review/testdata/fleet/chat.go
+++ b/review/testdata/fleet/chat.go
@@ -15,19 +15,12 @@
 // chatKey is the key of the tenant that sends turns.
 const chatKey = "nu6wsjnbanfqasnmgkcu"
 
-// otherKey is the key of the other tenant.
-const otherKey = "3fexd9dnn2ctnfzs989a"
-
 // answer is one attempt of a turn and its end.
 type answer struct {
 	host, program, id string
 	sent, ended       time.Time
 	status, events    int
 	whole             bool
-	// kept is set if the connection had served a request before.
-	kept bool
-	// closes is set if the host closes the connection after the answer.
-	closes bool
 	// used is the number of tokens that the program had used before, with the most of turns that did not end whole.
 	used, budget int
 }
@@ -37,12 +30,6 @@
 	id          string
 	budget, max int
 	previous    string
-	// key is that of the program's tenant, and input the size of the input of each turn.
-	key   string
-	input int
-	// keeps is set if the program's client keeps its connection for the next turn; kept is that connection.
-	keeps bool
-	kept  *clientConn
 	// used is the number of tokens used, at the most.
 	used int
 }
@@ -52,8 +39,6 @@
 	f    *fleet
 	log  *record
 	runs *runs
-	// until is when the clients stop; zero if they end by themselves.
-	until time.Time
 
 	mu      sync.Mutex
 	answers []answer
@@ -73,7 +58,7 @@
 			return nil, err
 		}
 	}
-	if err := f.putConfig(chatConfig("returns-app")); err != nil {
+	if err := f.putConfig(chatConfig()); err != nil {
 		return nil, err
 	}
 	if err := f.startAll(); err != nil {
@@ -83,21 +68,16 @@
 	return d, nil
 }
 
-// chatConfig returns the configuration in which the route of status requests goes to a service.
-func chatConfig(status string) map[string]any {
+// chatConfig returns the configuration of the deployment.
+func chatConfig() map[string]any {
 	return map[string]any{
 		"routes": []any{map[string]any{"name": "r-chat", "host": entryHost, "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 3000,
 			"target_latency_ms": 250, "priority": 1, "service": "assistant-llm", "max_attempts": 2, "public": false, "retains_context": true,
-			"retention_s": 60, "sticky_sessions": true, "resumable": false, "gap_aim_ms": 200},
-			map[string]any{"name": "r-status", "host": entryHost, "path_prefix": "/status/", "kind": "safe", "timeout_ms": 1200,
-				"target_latency_ms": 80, "priority": 2, "service": status, "max_attempts": 2, "public": false}},
+			"retention_s": 60, "sticky_sessions": true, "resumable": false, "gap_aim_ms": 200}},
 		"services": []any{map[string]any{"name": "assistant-llm", "health_path": "/health", "max_connections": 160,
-			"engine": map[string]any{"slots": 16, "kv_cache_tokens": 133601, "tokens_per_event": tokensPerEvent}},
-			map[string]any{"name": "returns-app", "health_path": "/health", "max_connections": 96},
-			map[string]any{"name": "returns-new", "health_path": "/health", "max_connections": 96}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{chatKey}, "priority": 1, "rate_per_s": 1200, "burst": 1200},
-			map[string]any{"name": "other", "api_keys": []string{otherKey}, "priority": 1, "rate_per_s": 400, "burst": 400}},
+			"engine": map[string]any{"slots": 16, "kv_cache_tokens": 133601, "tokens_per_event": tokensPerEvent}}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{chatKey}, "priority": 1, "rate_per_s": 1200, "burst": 1200}},
 	}
 }
 
@@ -107,9 +87,6 @@
 // next sends the next turn of a program. It reports whether the turn was answered whole.
 func (d *chat) next(p *program) bool {
 	for try := range maxTries {
-		if !d.until.IsZero() && time.Now().After(d.until) {
-			return false
-		}
 		a := d.send(p)
 		if a.whole {
 			p.previous = a.id
@@ -139,50 +116,25 @@
 	return usable[rand.IntN(len(usable))]
 }
 
-// clientConn is a connection of a client to a host.
-type clientConn struct {
-	net.Conn
-	host   *host
-	reader *bufio.Reader
-}
-
-// connect returns the program's kept connection, or opens one.
-func (d *chat) connect(p *program, a *answer) (c *clientConn, err error) {
-	if c, p.kept = p.kept, nil; c != nil {
-		a.host, a.kept = c.host.name, true
-		return c, nil
-	}
-	h := d.pick()
-	a.host = h.name
-	connection, err := net.DialTimeout("tcp", h.addr(), time.Second)
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{Conn: connection, host: h, reader: bufio.NewReader(connection)}, nil
-}
-
-// send sends one attempt of the next turn of a program.
+// send sends one attempt of the next turn of a program on a new connection.
 func (d *chat) send(p *program) answer {
-	a := answer{program: p.id, id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now(), used: p.used, budget: p.budget}
-	input := fmt.Sprintf("<input of %s>", a.id) + strings.Repeat("y", p.input)
+	h := d.pick()
+	a := answer{host: h.name, program: p.id, id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now(), used: p.used, budget: p.budget}
+	input := fmt.Sprintf("<input of %s>", a.id)
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST /chat/4b HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Program-Id: %s\r\nX-Session-Id: main\r\n", entryHost, a.id, p.id)
-	fmt.Fprintf(&b, "X-Program-Deadline-Ms: 30000\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n", p.key)
+	fmt.Fprintf(&b, "X-Program-Deadline-Ms: 30000\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n", chatKey)
 	fmt.Fprintf(&b, "X-Token-Budget: %d\r\nX-Token-Usage: 100,%d\r\nContent-Length: %d\r\n", p.budget, p.max, len(input))
 	if p.previous != "" {
 		fmt.Fprintf(&b, "X-Previous-Turn: %s\r\n", p.previous)
 	}
 	b.WriteString("\r\n" + input)
-	c, err := d.connect(p, &a)
+	connection, err := net.DialTimeout("tcp", h.addr(), time.Second)
 	if err == nil {
-		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
-		if _, err = io.WriteString(c, b.String()); err == nil {
-			err = readAnswer(c, &a)
-		}
-		if err == nil && p.keeps && !a.closes {
-			p.kept = c
-		} else {
-			_ = c.Close()
+		defer connection.Close()
+		_ = connection.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err = io.WriteString(connection, b.String()); err == nil {
+			err = readAnswer(connection, &a)
 		}
 	}
 	a.ended = time.Now()
@@ -202,13 +154,13 @@
 }
 
 // readAnswer reads the answer to a turn.
-func readAnswer(c *clientConn, a *answer) error {
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+func readAnswer(connection net.Conn, a *answer) error {
+	response, err := http.ReadResponse(bufio.NewReader(connection), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
-	a.status, a.closes = response.StatusCode, response.Close
+	a.status = response.StatusCode
 	body, err := io.ReadAll(response.Body)
 	if a.status == http.StatusOK {
 		a.events = strings.Count(string(body), "\n\n")
--- a/review/testdata/fleet/denied.go
+++ b/review/testdata/fleet/denied.go
@@ -9,7 +9,7 @@
 const (
 	// deniedPrograms is the number of programs, each of which asks for deniedTurns turns one after the other. Its budget
 	// is the most that these generate.
-	deniedPrograms = 100
+	deniedPrograms = 200
 	deniedTurns    = 12
 	deniedMax      = 7 * tokensPerEvent
 	// deniedBefore is the number of turns before the planned stops.
@@ -28,7 +28,7 @@
 	}
 	programs := make([]*program, deniedPrograms)
 	for n := range programs {
-		programs[n] = &program{id: fmt.Sprintf("program-%03d", n), budget: deniedTurns * deniedMax, max: deniedMax, key: chatKey}
+		programs[n] = &program{id: fmt.Sprintf("program-%03d", n), budget: deniedTurns * deniedMax, max: deniedMax}
 	}
 	all := func(turns int) {
 		var wait sync.WaitGroup
--- a/review/testdata/fleet/main.go
+++ b/review/testdata/fleet/main.go
@@ -17,9 +17,8 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(f *fleet, log *record, trouble bool) (broken bool, err error){
-	"store-full": fullCase,
-	"denied":     deniedCase,
-	"quota":      quotaCase,
+	"denied": deniedCase,
+	"quota":  quotaCase,
 }
 
 func main() {
--- a/review/testdata/fleet/replica.go
+++ b/review/testdata/fleet/replica.go
@@ -42,8 +42,6 @@
 	work        time.Duration
 	runs        *runs
 	busy        atomic.Int64
-	// leaving is set once the replica is about to end; its answers then close their connections.
-	leaving atomic.Bool
 }
 
 // queue is the number of requests that wait for a slot.
@@ -58,9 +56,6 @@
 	id := r.Header.Get("X-Request-Id")
 	h.Set("X-Request-Id", id)
 	h.Set("X-Instance-Id", p.id)
-	if p.leaving.Load() {
-		h.Set("Connection", "close")
-	}
 	n := p.busy.Add(1)
 	defer p.busy.Add(-1)
 	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", min(n, int64(p.slots)), max(n-int64(p.slots), 0), p.slots))
