--- a/review/testdata/fleet/main.go
+++ b/review/testdata/fleet/main.go
@@ -18,7 +18,8 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(f *fleet, log *record, trouble bool) (broken bool, err error){
 	"denied": deniedCase,
-	"quota":  quotaCase,
+	"quota":  quotaLoss,
+	"freeze": freezeCase,
 }
 
 func main() {
--- a/review/testdata/fleet/quota.go
+++ b/review/testdata/fleet/quota.go
@@ -25,8 +25,13 @@
 	quotaKey    = "3fexd9dnn2ctnfzs989a"
 )
 
-// quotaCase lets a tenant press beyond its limit while the machines of one zone lose power at once.
-func quotaCase(f *fleet, log *record, trouble bool) (broken bool, err error) {
+// quotaLoss lets a tenant press beyond its limit while the machines of one zone lose power at once.
+func quotaLoss(f *fleet, log *record, trouble bool) (broken bool, err error) {
+	return quotaCase(f, log, trouble, loseZone)
+}
+
+// quotaCase lets a tenant press beyond its limit during a disruption.
+func quotaCase(f *fleet, log *record, trouble bool, disturb func(f *fleet, log *record)) (broken bool, err error) {
 	ran := &runs{}
 	for n := range 6 {
 		r := &replica{id: fmt.Sprintf("i-app%d", n), service: "returns-app", slots: 6, work: 10 * time.Millisecond, runs: ran}
@@ -55,7 +60,7 @@
 	c := newCallers(f, quotaKey, "POST", "/credit/2f", 1500*time.Millisecond)
 	log.printf("the tenant sends %d requests a second", quotaPress)
 	if trouble {
-		go loseZone(f, log)
+		go disturb(f, log)
 	}
 	c.press(quotaPress, 7*time.Second)
 	c.wait.Wait()
