forward: an answer without a length ends only with an unbroken connection

Callers saw: a replica answered a long upload at once with a 200 or a 404 that had no length, sent a part of its body and reset the connection while the upload was still written. The caller got the part as a complete answer, also as a stream and through another host.

Cause: the kernel reports the reset of a connection once, to whichever call comes first. The goroutine that writes the request took the report, and the one that reads the answer found the end of the stream, which ends an answer without a length.

Change: httpanswer.Conn counts the writes of a connection. Its Read returns io.EOF only if no write has failed, and waits for a write in progress: up to 500 ms, in which a peer that is gone resets the connection. A write that is still blocked then belongs to a replica that has closed its side only; its answer is whole. Answers with a length or in chunks do not depend on it.

Why it works: a reset that a read does not report was reported to a write before. That write has failed or is in progress when the read returns.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"cowslipgw/internal/httpanswer"
 )
 
 // readBufferSize is the size of a connection's read buffer; most non-streaming answers
@@ -58,7 +60,7 @@
 
 // conn is a connection to a replica. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*httpanswer.Conn
 	head   *headLimiter
 	reader *bufio.Reader
 	// lastRead is the time since processStart at which bytes last arrived or the connection was opened.
@@ -71,8 +73,8 @@
 
 // newConn returns a connection that records in anyRead, too, when bytes arrive.
 func newConn(raw net.Conn, anyRead *atomic.Int64) *conn {
-	c := &conn{Conn: raw}
-	c.head = &headLimiter{Conn: raw, remaining: -1, received: func() {
+	c := &conn{Conn: httpanswer.NewConn(raw)}
+	c.head = &headLimiter{Conn: c.Conn, remaining: -1, received: func() {
 		now := int64(time.Since(processStart))
 		c.lastRead.Store(now)
 		anyRead.Store(now)
@@ -88,7 +90,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sys, ok := c.Conn.(syscall.Conn)
+	sys, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -62,7 +62,7 @@
 			buffers = append(buffers, part)
 		}
 	}
-	_, err := buffers.WriteTo(c.Conn)
+	_, err := c.WriteBuffers(buffers)
 	return err
 }
 
