forward: an answer with a status that is none is invalid

Callers saw: a replica in trouble sent an answer whose status was 000, with the text of another answer in its body. Callers got that one as theirs. Statuses 600 to 999 reached them as they were, and with a statement that the request had not run they became a 503.

Cause: http.ReadResponse accepts any three characters that are a number, as 000, +20 and 999 are. The reader skipped all statuses below 200 as interim answers, 101 included, and read what followed as the answer.

Change: httpanswer.CheckHead checks the status line as the replica sent it: version HTTP/1, single spaces, a status from 100 to 599 but 101, which no request asks for, and no control bytes in the reason. Other answers are invalid, as other bytes that are no answer: 502, or another replica for requests that may be repeated.

Why it works: the check runs before the status decides anything, on each head that is read, and what follows an invalid head is never read.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -35,6 +36,9 @@
 	remaining int
 	// lines is the number of lines that may still be read while remaining is not negative.
 	lines int
+	// isRecording is set while bytes that are read are appended to recorded.
+	isRecording bool
+	recorded    []byte
 	// received is called when bytes arrive.
 	received func()
 }
@@ -51,6 +55,9 @@
 	if n > 0 {
 		l.received()
 	}
+	if l.isRecording {
+		l.recorded = append(l.recorded, p[:max(n, 0)]...)
+	}
 	if l.remaining > 0 {
 		l.remaining -= n
 		l.lines -= bytes.Count(p[:max(n, 0)], []byte{'\n'})
@@ -71,6 +78,16 @@
 	idleTimeout time.Duration
 }
 
+// readHead reads the next answer up to its body. It returns the head as the replica sent it, too.
+func (c *conn) readHead(request *http.Request) (*http.Response, []byte, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // has no error, since it reads nothing
+	c.head.recorded, c.head.isRecording = bytes.Clone(buffered), true
+	response, err := http.ReadResponse(c.reader, request)
+	head := c.head.recorded[:len(c.head.recorded)-c.reader.Buffered()]
+	c.head.recorded, c.head.isRecording = nil, false
+	return response, head, err
+}
+
 // newConn returns a connection that records in anyRead, too, when bytes arrive.
 func newConn(raw net.Conn, anyRead *atomic.Int64) *conn {
 	c := &conn{Conn: httpanswer.NewConn(raw)}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/samber/oops"
+
+	"cowslipgw/internal/httpanswer"
 )
 
 const (
@@ -73,14 +75,17 @@
 	defer func() { c.head.remaining = -1 }()
 	for unmatched := 0; unmatched <= maxUnmatched; {
 		c.head.lines = maxHeadLines
-		response, err := http.ReadResponse(c.reader, request)
+		response, head, err := c.readHead(request)
 		if err != nil {
 			if _, network := err.(net.Error); network || isConnClosed(err) {
 				return nil, oops.With("cause", err.Error()).Wrap(ErrBroken)
 			}
 			return nil, oops.With("cause", err.Error()).Wrap(ErrInvalidAnswer)
 		}
-		if response.StatusCode < 200 {
+		if err := httpanswer.CheckHead(head); err != nil {
+			return nil, oops.With("cause", err.Error()).Wrap(ErrInvalidAnswer)
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		if matches(response.StatusCode, response.Header) {
--- /dev/null
+++ b/internal/gateway/broken_head_test.go
@@ -0,0 +1,82 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// passesOn reports which of the answers reach the caller of a host as an answer of the replica, or make the host
+// claim that the request did not run.
+func passesOn(t *testing.T, answers []string) (passed []string) {
+	t.Helper()
+	for _, answer := range answers {
+		server := keptReplica(t, answer)
+		for _, relayed := range []bool{false, true} {
+			for _, path := range []string{"/unsafe/1", "/draft/1"} {
+				fleet := newTestFleet(t, 2)
+				for _, gw := range fleet {
+					gw.addReplica("r", server)
+				}
+				if relayed {
+					fleet[0].links.set(refusingCut)
+				}
+				reply := fleet[0].call(t, "POST", path, "x", "Id", "a", "Key", "k")
+				if reply.status != http.StatusBadGateway || reply.header.Get("Signed") != "" {
+					passed = append(passed, fmt.Sprintf("%q, relayed %v, %s: status %d, %q", answer, relayed, path, reply.status, reply.body))
+				}
+			}
+		}
+	}
+	return passed
+}
+
+// keptReplica reads one request on each connection, writes the same bytes and closes a little later.
+func keptReplica(t *testing.T, answer string) *httptest.Server {
+	t.Helper()
+	return serveRaw(t, func(c net.Conn) {
+		defer c.Close()
+		if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(c, answer)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
+// shown is the body of an answer, a whole stream.
+const shown = "data: x\n\n"
+
+// hidden is an answer in the body of another one.
+const hidden = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: a\r\nContent-Length: 9\r\n\r\n" + shown
+
+// lengthOf returns the head line with the length of a body, and the body.
+func lengthOf(body string) string {
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// TestStatusThatIsNone guards against an answer whose status is none in the protocol: it must not be passed on,
+// and it must not be skipped either, since its body may hold the text of another answer.
+func TestStatusThatIsNone(t *testing.T) {
+	var answers []string
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "600", "999", "101"} {
+		line := "HTTP/1.1 " + status + " X\r\n"
+		answers = append(answers,
+			line+"Signed: 1\r\nId: a\r\n"+lengthOf(shown),
+			line+"Not-Run: 1\r\nId: a\r\n"+lengthOf(shown),
+			line+"Signed: 1\r\nId: a\r\n"+lengthOf(hidden),
+			line+"\r\n"+hidden)
+	}
+	for _, line := range []string{"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 200 O\x00K",
+		"HTTP/1.1 200 O\rK", "HTTP/1.1\t200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK"} {
+		answers = append(answers, line+"\r\nSigned: 1\r\nId: a\r\n"+lengthOf(shown))
+	}
+	for _, passed := range passesOn(t, answers) {
+		t.Error(passed)
+	}
+}
