forward: an answer with a field line that is none is invalid

Callers saw: a replica in trouble sent a head with a blank in the name of a field. The answer reached them as a 200; with "Content-Length : 9" or "Transfer-Encoding : chunked" its body was all that came before the end of the connection, with a length of the gateway's own.

Cause: net/textproto accepts blanks in names and does not canonicalize such names, so that net/http does not see the field. It joins a line that begins with white space with the line before.

Change: httpanswer.CheckHead checks the field lines as the replica sent them: a name that is a token, directly followed by a colon, and a value without control bytes. Continued lines are none. RFC 9112, 5.2 leaves a proxy the choice to join them or to answer 502, and readers differ in it.

Control bytes in names, empty names and names in other characters were refused before: the cases stay in the test. TestUnusualAnswersAreWhole (all that the protocol allows, also without a reason, with bare line feeds, interim answers, odd names) passes before and after.

Why it works: each line of a head must be of the protocol's form before anything of the head is used.

--- a/internal/gateway/broken_head_test.go
+++ b/internal/gateway/broken_head_test.go
@@ -80,3 +80,45 @@
 		t.Error(passed)
 	}
 }
+
+// TestFieldNameThatIsNone guards against an answer whose head has a field name that is none in the protocol. Its
+// line must not be passed on, and its body may end elsewhere than net/http reads.
+func TestFieldNameThatIsNone(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: a\r\n"
+	var answers []string
+	for _, name := range []string{"Con tent", "Con\ttent", "Con\x01tent", "Con\x00tent", "Con\x7ftent", "Con\rtent", " Content", "Content ", "Content\t", "", "Con(tent", "Con\xe9tent"} {
+		answers = append(answers, head+name+": 1\r\n"+lengthOf(shown))
+	}
+	answers = append(answers, head+"Content-Length : 9\r\n\r\n"+shown+shown, head+"Content-Length\t: 9\r\n\r\n"+shown+shown,
+		head+"Transfer-Encoding : chunked\r\n\r\n9\r\n"+shown+"\r\n0\r\n\r\n")
+	for _, passed := range passesOn(t, answers) {
+		t.Error(passed)
+	}
+}
+
+// TestUnusualAnswersAreWhole guards against refusing an answer that the protocol allows.
+func TestUnusualAnswersAreWhole(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: a\r\n"
+	for _, answer := range []string{
+		head + lengthOf(shown),
+		"HTTP/1.1 200\r\nSigned: 1\r\nId: a\r\n" + lengthOf(shown),
+		"HTTP/1.1 200 \r\nSigned: 1\r\nId: a\r\n" + lengthOf(shown),
+		"HTTP/1.0 200 OK\r\nSigned: 1\r\nId: a\r\n\r\n" + shown,
+		"HTTP/1.1 200 \xc3\xa9t\xe9\tok\r\nSigned: 1\r\nId: a\r\n" + lengthOf(shown),
+		"HTTP/1.1 200 OK\nSigned: 1\nId: a\nContent-Length: 9\n\n" + shown,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + head + lengthOf(shown),
+		head + "a!#$%&'*+-.^_`|~9:\r\nEmpty: \t \r\nHigh: \xff\xe9\r\n" + lengthOf(shown),
+		head + "Content-Length: 9\r\n" + lengthOf(shown),
+		head + "transfer-encoding: CHUNKED\r\n\r\n4;x=y\r\ndata\r\n5\r\n: x\n\n\r\n0\r\nAfter: 1\r\n\r\n",
+		head + "\r\n" + shown,
+	} {
+		for _, path := range []string{"/unsafe/1", "/draft/1"} {
+			gw := newTestGateway(t, 0)
+			gw.addReplica("r", keptReplica(t, answer))
+			reply := gw.call(t, "POST", path, "x", "Id", "a", "Key", "k")
+			if reply.status != http.StatusOK || !reply.complete || reply.body != shown {
+				t.Errorf("%q, %s: status %d, complete %v, %q", answer, path, reply.status, reply.complete, reply.body)
+			}
+		}
+	}
+}
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -11,7 +11,54 @@
 // CheckHead checks a complete head, up to its empty line, that net/http has parsed. Net/http reads more than the
 // protocol allows, and its reading may differ from that of the sender.
 func CheckHead(head []byte) error {
-	line, _, _ := bytes.Cut(head, []byte{'\n'})
-	_, err := parseStatusLine(bytes.TrimSuffix(line, []byte{'\r'}))
+	var s headScanner
+	_, err := s.scan(head)
+	return err
+}
+
+// headScanner checks the lines of a head that arrives in parts.
+type headScanner struct {
+	// partial is the start of a line whose end has not arrived.
+	partial []byte
+	// hasStatus is set once the status line is complete.
+	hasStatus bool
+	status    statusLine
+}
+
+// scan checks the next bytes of an answer. It reports whether the head of an answer that is not interim ends in them.
+func (s *headScanner) scan(data []byte) (isComplete bool, err error) {
+	for {
+		line, rest, found := bytes.Cut(data, []byte{'\n'})
+		if !found {
+			s.partial = append(s.partial, line...)
+			return false, nil
+		}
+		if len(s.partial) > 0 {
+			line = append(s.partial, line...)
+			s.partial = nil
+		}
+		data = rest
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		if len(line) > 0 || !s.hasStatus {
+			if err := s.addLine(line); err != nil {
+				return false, err
+			}
+			continue
+		}
+		if !s.status.isInterim() {
+			return true, nil
+		}
+		*s = headScanner{} // another head follows
+	}
+}
+
+// addLine checks a line that is not the end of the head.
+func (s *headScanner) addLine(line []byte) (err error) {
+	if s.hasStatus {
+		_, err := parseField(line)
+		return err
+	}
+	s.hasStatus = true
+	s.status, err = parseStatusLine(line)
 	return err
 }
--- a/internal/httpanswer/status_line.go
+++ b/internal/httpanswer/status_line.go
@@ -15,6 +15,9 @@
 	status int
 }
 
+// isInterim reports whether another answer follows.
+func (l statusLine) isInterim() bool { return l.status < http.StatusOK }
+
 // parseStatusLine parses a line without its end (RFC 9112, 4). The space before an empty reason may be missing, as it
 // is in answers of older servers. No request of a host asks for another protocol, so that 101 is no answer to one.
 func parseStatusLine(line []byte) (statusLine, error) {
