forward: an answer whose head frames its body in two ways is invalid

The raw chunks of an HTTP/1.0 answer arrived as its body. An answer with both a length and chunks was passed on without its length, and a 204 with a body as an empty one.

Cause: net/http repairs such heads. It reads no body after 1xx and 204 whatever their head says, drops Transfer-Encoding from HTTP/1.0 answers and Content-Length beside Transfer-Encoding.

Change: httpanswer.CheckHead takes the framing from the field lines. A Transfer-Encoding in HTTP/1.0 or beside a Content-Length, a length that is no number or given twice with two values, and a body after 1xx or 204 make an answer invalid (RFC 9112, 6.1 to 6.3).

What net/http refuses (unequal lengths, other encodings, two of them) stays in the test. TestUnusualAnswersAreWhole still passes.

Why it works: a body has one end only in all heads that are left, or it ends with the connection, whose end is checked.

--- a/internal/gateway/broken_head_test.go
+++ b/internal/gateway/broken_head_test.go
@@ -96,6 +96,38 @@
 	}
 }
 
+// TestFramingThatIsNone guards against an answer whose head can be read in two ways, so that the end of its body is
+// in doubt, and against an interim answer whose body holds the text of another answer.
+func TestFramingThatIsNone(t *testing.T) {
+	const signedID = "Signed: 1\r\nId: a\r\n"
+	const chunks = "\r\n9\r\n" + shown + "\r\n0\r\n\r\n"
+	var answers []string
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.1 404 Not Found\r\n"} {
+		answers = append(answers,
+			head+signedID+"X: 1\r\n folded\r\n"+lengthOf(shown),
+			head+signedID+"X: 1\r\n\tfolded\r\n"+lengthOf(shown),
+			head+signedID+"X: 1\r\n Content-Length: 9\r\n\r\n"+shown+shown,
+			head+signedID+"X: \x01\r\n"+lengthOf(shown),
+			head+signedID+"no colon\r\n"+lengthOf(shown),
+			head+signedID+"Content-Length: 9\r\n"+lengthOf(shown+shown),
+			head+signedID+"Content-Length: +9\r\n\r\n"+shown,
+			head+signedID+"Content-Length: 9, 9\r\n\r\n"+shown,
+			head+signedID+"Content-Length:\r\n\r\n"+shown,
+			head+signedID+"Content-Length: 9\r\nTransfer-Encoding: chunked\r\n"+chunks,
+			head+signedID+"Transfer-Encoding: gzip, chunked\r\n"+chunks,
+			head+signedID+"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"+chunks,
+			"HTTP/1.0"+head[len("HTTP/1.1"):]+signedID+"Transfer-Encoding: chunked\r\n"+chunks)
+	}
+	for _, status := range []string{"100 Continue", "103 Early Hints", "199 X"} {
+		answers = append(answers, "HTTP/1.1 "+status+"\r\n"+lengthOf(hidden), "HTTP/1.1 "+status+"\r\nTransfer-Encoding: chunked\r\n\r\n"+hidden,
+			"HTTP/1.1 "+status+"\r\nX : 1\r\n\r\n"+hidden)
+	}
+	answers = append(answers, "HTTP/1.1 204 No Content\r\n"+signedID+lengthOf(hidden), "HTTP/1.1 204 No Content\r\n"+signedID+"Transfer-Encoding: chunked\r\n"+chunks)
+	for _, passed := range passesOn(t, answers) {
+		t.Error(passed)
+	}
+}
+
 // TestUnusualAnswersAreWhole guards against refusing an answer that the protocol allows.
 func TestUnusualAnswersAreWhole(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: a\r\n"
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -23,6 +23,7 @@
 	// hasStatus is set once the status line is complete.
 	hasStatus bool
 	status    statusLine
+	framing   framing
 }
 
 // scan checks the next bytes of an answer. It reports whether the head of an answer that is not interim ends in them.
@@ -45,6 +46,9 @@
 			}
 			continue
 		}
+		if err := s.framing.check(s.status); err != nil {
+			return false, err
+		}
 		if !s.status.isInterim() {
 			return true, nil
 		}
@@ -55,8 +59,11 @@
 // addLine checks a line that is not the end of the head.
 func (s *headScanner) addLine(line []byte) (err error) {
 	if s.hasStatus {
-		_, err := parseField(line)
-		return err
+		parsed, err := parseField(line)
+		if err != nil {
+			return err
+		}
+		return s.framing.add(parsed)
 	}
 	s.hasStatus = true
 	s.status, err = parseStatusLine(line)
--- a/internal/httpanswer/status_line.go
+++ b/internal/httpanswer/status_line.go
@@ -18,6 +18,10 @@
 // isInterim reports whether another answer follows.
 func (l statusLine) isInterim() bool { return l.status < http.StatusOK }
 
+// mayHaveBody reports whether a body may follow an answer to a request other than HEAD. The head of a 304 may have
+// the length of the body that is not sent.
+func (l statusLine) mayHaveBody() bool { return !l.isInterim() && l.status != http.StatusNoContent }
+
 // parseStatusLine parses a line without its end (RFC 9112, 4). The space before an empty reason may be missing, as it
 // is in answers of older servers. No request of a host asks for another protocol, so that 101 is no answer to one.
 func parseStatusLine(line []byte) (statusLine, error) {
