gateway, relay: a refusal that is cut is none

The caller got 503, which promises "not run", or the request ran at another replica. The same held for "declined" and "unreachable" of another host.

Cause: a refusal was taken from the head of the answer. Errors while its body was read were ignored, and only 4 KB of it were read.

Change: the body of a refusal is read like that of other answers, up to 1 MB (4 KB from other hosts). If it is truncated or too long, the attempt counts as broken: 502, or another replica for requests that may be repeated.

Why it works: after a connection that broke, the replica may have run the request; a statement counts only as part of a whole answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,13 +169,26 @@
 	a := &attempt{lease: lease, answer: answer, info: info, cancel: cancel}
 	if info.isRefusal(answer.Status) {
 		info.limitReuse(answer)
-		drain(answer)
-		a.end(replica.Refused, 1)
-		return nil, errRefused
+		return nil, x.endRefused(ctx, a)
 	}
 	return a, nil
 }
 
+// endRefused ends an attempt whose answer says that the replica did not execute the request. It returns errRefused if
+// the answer is whole.
+func (x *exchange) endRefused(ctx context.Context, a *attempt) error {
+	if err := skipBody(a.answer); err != nil {
+		record := a.lease.Record()
+		a.end(x.failureResult(ctx, record), 1)
+		if isBroken(err) && ctx.Err() == nil {
+			x.breakOff(record)
+		}
+		return err
+	}
+	a.end(replica.Refused, 1)
+	return errRefused
+}
+
 // isRefusal reports whether an answer says that the replica did not execute the request.
 func (i AnswerInfo) isRefusal(status int) bool {
 	return i.NotExecuted || status == http.StatusMisdirectedRequest
--- a/internal/gateway/broken_answer_test.go
+++ b/internal/gateway/broken_answer_test.go
@@ -135,3 +135,68 @@
 		}
 	}
 }
+
+// TestCutRefusalIsNone guards against a claim that a request has not run which rests on a part of an answer: what was
+// cut may have said otherwise, and the request must not run at another replica or be refused as not run.
+func TestCutRefusalIsNone(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: a\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		size   int
+	}{
+		"no length, reset during the upload": {head + "\r\nbu", 3_000_000},
+		"length":                             {head + "Content-Length: 4\r\n\r\nbu", 1},
+		"length, long":                       {head + "Content-Length: 9000\r\n\r\n" + strings.Repeat("x", 8000), 1},
+		"chunks":                             {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nbu\r\n", 1},
+		"misdirected":                        {"HTTP/1.1 421 Misdirected Request\r\nId: a\r\nContent-Length: 4\r\n\r\nbu", 1},
+	} {
+		for _, relayed := range []bool{false, true} {
+			fleet := rawFleet(t, func(conn net.Conn) {
+				if readHead(conn) {
+					_, _ = io.CopyN(io.Discard, conn, min(int64(c.size), 1000))
+					_, _ = io.WriteString(conn, c.answer)
+				}
+				time.Sleep(5 * time.Millisecond)
+				resetConn(conn)
+			})
+			if relayed {
+				fleet[0].links.set(refusingCut)
+			}
+			reply := fleet[0].call(t, "POST", "/unsafe/1", strings.Repeat("x", c.size), "Id", "a", "Key", "k")
+			if reply.status != http.StatusBadGateway {
+				t.Errorf("%s, relayed %v: status %d, %q", name, relayed, reply.status, reply.body)
+			}
+		}
+	}
+}
+
+// TestBrokenAnswersOfHosts guards against an answer of another host that is broken: a request which that host may have
+// sent must not be refused as not run, and no part of an answer may be passed on.
+func TestBrokenAnswersOfHosts(t *testing.T) {
+	const ok = "Signed: 1\r\nId: a\r\nRelay-Outcome: answered\r\n"
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\n" + ok + "Content-Length: 4\r\n\r\nbu",
+		"HTTP/1.1 200 OK\r\n" + ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nbu\r\n",
+		"HTTP/1.1 000 X\r\n" + ok + "Content-Length: 2\r\n\r\nbu",
+		"HTTP/1.1 200 OK\r\nA b: 1\r\n" + ok + "Content-Length: 2\r\n\r\nbu",
+		"HTTP/1.1 200 OK\r\n" + ok + "Content-Length : 2\r\n\r\nbu",
+		"HTTP/1.1 502 Bad Gateway\r\nRelay-Outcome: declined\r\nContent-Length: 4\r\n\r\nbu",
+		"HTTP/1.1 502 Bad Gateway\r\nRelay-Outcome: unreachable\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 999 X\r\nRelay-Outcome: declined\r\nContent-Length: 0\r\n\r\n",
+	} {
+		fleet := rawFleet(t, func(net.Conn) {})
+		host := serveRaw(t, func(conn net.Conn) {
+			defer conn.Close()
+			if readHead(conn) {
+				_, _ = io.CopyN(io.Discard, conn, 1)
+				_, _ = io.WriteString(conn, answer)
+			}
+		})
+		fleet[0].fleet.hosts[1].Relay = strings.TrimPrefix(host.URL, "http://")
+		fleet[0].links.set(refusingCut)
+		reply := fleet[0].call(t, "POST", "/unsafe/1", "x", "Id", "a", "Key", "k")
+		if reply.status != http.StatusBadGateway {
+			t.Errorf("%q: status %d, %q", answer, reply.status, reply.body)
+		}
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -22,10 +22,21 @@
 // errUnsigned is returned if an answer does not bear the signature of a replica.
 var errUnsigned = errors.New("answer is not signed")
 
-// drain reads the rest of a short answer, so that its connection can be reused.
-func drain(a *forward.Answer) {
-	// The content does not matter; if the read fails, Close discards the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(a, 4<<10))
+// skipBody reads the rest of an answer. It fails if the answer is truncated or too long.
+func skipBody(a *forward.Answer) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(a, maxBufferedAnswer+1))
+	return checkBody(n, err)
+}
+
+// checkBody returns the error for a body of which n bytes were read.
+func checkBody(n int64, err error) error {
+	switch {
+	case err != nil:
+		return oops.With("cause", err.Error()).Wrap(forward.ErrBroken)
+	case n > maxBufferedAnswer:
+		return oops.Errorf("answer is longer than %d bytes", maxBufferedAnswer)
+	}
+	return nil
 }
 
 // servePlain serves a request on a route that does not store turns.
@@ -88,11 +99,8 @@
 		return nil, oops.Errorf("answer has a content encoding")
 	}
 	content, err := io.ReadAll(io.LimitReader(a.answer, maxBufferedAnswer+1))
-	if err != nil {
-		return nil, oops.With("cause", err.Error()).Wrap(forward.ErrBroken)
-	}
-	if len(content) > maxBufferedAnswer {
-		return nil, oops.Errorf("answer is longer than %d bytes", maxBufferedAnswer)
+	if err := checkBody(int64(len(content)), err); err != nil {
+		return nil, err
 	}
 	return content, nil
 }
--- a/internal/relay/through.go
+++ b/internal/relay/through.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/oops"
 
 	"cowslipgw/internal/forward"
 	"cowslipgw/internal/peers"
@@ -84,7 +85,9 @@
 	if outcome == Answered {
 		return answer, nil
 	}
-	finish(answer)
+	if err := finish(answer); err != nil {
+		return nil, err
+	}
 	return nil, outcome.err()
 }
 
@@ -112,7 +115,9 @@
 			continue
 		}
 		outcome := outcomeOf(answer.Header)
-		finish(answer)
+		if finish(answer) != nil {
+			continue
+		}
 		switch outcome {
 		case Reachable:
 			s.confirmLost(r)
@@ -139,9 +144,16 @@
 // maxRefusalBody is the size of the largest body that is read of an answer without a replica's.
 const maxRefusalBody = 4 << 10
 
-// finish reads the rest of a short answer, so that its connection can be used again.
-func finish(answer *forward.Answer) {
-	// If the read fails, Close discards the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRefusalBody))
-	answer.Close()
+// finish reads the rest of a short answer and closes it. It fails if the answer is truncated or too long: what it says
+// then does not count.
+func finish(answer *forward.Answer) error {
+	defer answer.Close()
+	n, err := io.Copy(io.Discard, io.LimitReader(answer, maxRefusalBody+1))
+	switch {
+	case err != nil:
+		return oops.With("cause", err.Error()).Wrap(forward.ErrBroken)
+	case n > maxRefusalBody:
+		return oops.Wrapf(forward.ErrInvalidAnswer, "answer without a replica's is longer than %d bytes", maxRefusalBody)
+	}
+	return nil
 }
