forward: fields after a chunked body are checked, too

Callers saw: an answer in chunks whose trailer held a field name with a blank arrived as a whole answer.

Cause: net/http reads the trailer like a head, with the same repairs, and the gateway does not pass trailers on, so that nobody looked at it.

Change: at the end of a body the names of its trailer are checked; an answer to another request is not skipped if it has such a trailer.

Control bytes and lines without a colon were refused before.

Why it works: a body has ended only after its trailer, and the check comes before the end is reported. Folded lines in trailers are still joined by net/http; nothing of a trailer is passed on.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -8,6 +8,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/samber/oops"
+
+	"cowslipgw/internal/httpanswer"
 )
 
 // Answer is a replica's response. The caller must call Close.
@@ -17,10 +21,11 @@
 	// Length is the length of the body, or -1 if the replica did not send it.
 	Length int64
 
-	body   io.ReadCloser
-	pool   *Pool
-	target target
-	conn   *conn
+	// response is the answer as net/http has parsed it. Its trailer is valid once the body was read.
+	response *http.Response
+	pool     *Pool
+	target   target
+	conn     *conn
 	// written receives the result of writing the request.
 	written <-chan error
 	// stopWatch stops the watch that closes conn when the request's context is done.
@@ -36,13 +41,20 @@
 	close    sync.Once
 }
 
+// newAnswer returns an answer that has no connection yet.
+func newAnswer(r *http.Response) *Answer {
+	endsWithConnection := r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return &Answer{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, response: r, reusable: !r.Close,
+		needsBody: endsWithConnection && r.StatusCode < http.StatusMultipleChoices}
+}
+
 // Read reads the body. It returns io.EOF only if the body is complete. A success whose body ends
 // with the connection before its first byte is not: the replica may have ended after the head.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
+	n, err := a.response.Body.Read(p)
 	a.needsBody = a.needsBody && n == 0
-	if err == io.EOF && a.needsBody {
-		err = io.ErrUnexpectedEOF
+	if err == io.EOF {
+		err = a.checkEnd()
 	}
 	switch {
 	case err == io.EOF:
@@ -53,6 +65,17 @@
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body that has ended is complete.
+func (a *Answer) checkEnd() error {
+	if a.needsBody {
+		return io.ErrUnexpectedEOF
+	}
+	if err := httpanswer.CheckTrailer(a.response.Trailer); err != nil {
+		return oops.With("cause", err.Error()).Wrap(ErrInvalidAnswer)
+	}
+	return io.EOF
+}
+
 // DoNotReuse makes Close close the connection.
 func (a *Answer) DoNotReuse() { a.reusable = false }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -89,11 +89,9 @@
 			continue
 		}
 		if matches(response.StatusCode, response.Header) {
-			endsWithConnection := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-			return &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-				body: response.Body, reusable: !response.Close, needsBody: endsWithConnection && response.StatusCode < 300}, nil
+			return newAnswer(response), nil
 		}
-		if response.Close || response.Body.Close() != nil {
+		if response.Close || response.Body.Close() != nil || httpanswer.CheckTrailer(response.Trailer) != nil {
 			return nil, oops.Wrapf(ErrInvalidAnswer, "connection closed after an answer to another request")
 		}
 		unmatched++
--- a/internal/gateway/broken_head_test.go
+++ b/internal/gateway/broken_head_test.go
@@ -128,6 +128,21 @@
 	}
 }
 
+// TestTrailerThatIsNone guards against skipping fields after a chunked body that are none in the protocol.
+func TestTrailerThatIsNone(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n" + shown + "\r\n0\r\n"
+	for _, trailer := range []string{"A b: 1\r\n", "A : 1\r\n", "A\x01: 1\r\n", "A\r\n"} {
+		for _, path := range []string{"/unsafe/1", "/draft/1"} {
+			gw := newTestGateway(t, 0)
+			gw.addReplica("r", keptReplica(t, head+trailer+"\r\n"))
+			reply := gw.call(t, "POST", path, "x", "Id", "a", "Key", "k")
+			if reply.complete && reply.status != http.StatusBadGateway {
+				t.Errorf("%q, %s: status %d, %q", trailer, path, reply.status, reply.body)
+			}
+		}
+	}
+}
+
 // TestUnusualAnswersAreWhole guards against refusing an answer that the protocol allows.
 func TestUnusualAnswersAreWhole(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nSigned: 1\r\nId: a\r\n"
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"net/http"
+
+	"github.com/samber/oops"
 )
 
 // ErrInvalid means that the head of an answer does not follow the protocol. Errors of this package wrap it.
@@ -16,6 +19,16 @@
 	return err
 }
 
+// CheckTrailer checks the names of the fields that net/http has parsed after a chunked body.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !isToken(name) {
+			return oops.With("name", name).Wrapf(ErrInvalid, "field name after the body")
+		}
+	}
+	return nil
+}
+
 // headScanner checks the lines of a head that arrives in parts.
 type headScanner struct {
 	// partial is the start of a line whose end has not arrived.
