upstream: the status of an answer that is cut decides nothing

The status was taken as its answer: a stale fencing token, an order that was refused and may be sent again, an import that is complete.

Cause: errors while the body of such an answer was read were ignored, and ImportKV did not read it.

Change: these answers are read to their end, up to the limit of an error's body; a truncated one is ErrIncompleteAnswer.

Why it works: the status is looked at only after the rest of the answer has arrived.

--- /dev/null
+++ b/internal/httpanswer/answertest/answertest.go
@@ -0,0 +1,78 @@
+// Package answertest has stand-ins for servers whose answers are broken, for tests of clients.
+package answertest
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// Truncated returns answers with the given status whose connection ends before they do.
+func Truncated(status, part string) []string {
+	line := "HTTP/1.1 " + status + " X\r\n"
+	return []string{
+		line + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(part)+1, part),
+		line + "Transfer-Encoding: chunked\r\n\r\n" + chunk(part),
+		line + "Transfer-Encoding: chunked\r\n\r\n" + chunk(part) + "0\r\n",
+	}
+}
+
+// chunk returns content as a chunk of a body; an empty chunk would end the body.
+func chunk(content string) string {
+	if content == "" {
+		return ""
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(content), content)
+}
+
+// Serve reads the head of one request on each connection, and the body as far as it has arrived, writes answer and
+// closes a little later. It returns the address.
+func Serve(t *testing.T, answer string) string {
+	t.Helper()
+	return serve(t, func(c net.Conn) {
+		if readHead(c) {
+			_, _ = io.WriteString(c, answer)
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+}
+
+// serve passes each connection to handle and closes it.
+func serve(t *testing.T, handle func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				handle(c)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// readHead reads up to the end of a request's head, and some of its body.
+func readHead(c net.Conn) bool {
+	var read []byte
+	buffer := make([]byte, 2<<10)
+	for !bytes.Contains(read, []byte("\r\n\r\n")) {
+		n, err := c.Read(buffer)
+		if err != nil {
+			return false
+		}
+		read = append(read, buffer[:n]...)
+	}
+	return true
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -188,9 +188,13 @@
 }
 
 // statusError returns the error for a response with an unexpected status. It reads the
-// start of the body.
-func statusError(response *http.Response) *StatusError {
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
+// start of the body. Without that it returns ErrIncompleteAnswer, since a status counts only
+// as part of an answer.
+func statusError(response *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
+	if err != nil {
+		return fmt.Errorf("%w: status %d: %w", ErrIncompleteAnswer, response.StatusCode, err)
+	}
 	result := &StatusError{Status: response.StatusCode, Body: body}
 	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil && seconds > 0 {
 		result.RetryAfter = time.Duration(seconds) * time.Second
--- a/internal/upstream/kv.go
+++ b/internal/upstream/kv.go
@@ -33,5 +33,5 @@
 	if err != nil {
 		return err
 	}
-	return response.Body.Close()
+	return endControl(response)
 }
--- a/internal/upstream/order.go
+++ b/internal/upstream/order.go
@@ -61,8 +61,16 @@
 	if err != nil {
 		return err
 	}
+	return endControl(response)
+}
+
+// endControl reads the rest of the answer to a control request and closes it. It returns ErrIncompleteAnswer if the
+// answer is truncated: the engine may not have done what its status says.
+func endControl(response *http.Response) error {
 	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBodyBytes))
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBodyBytes)); err != nil {
+		return fmt.Errorf("%w: %w", ErrIncompleteAnswer, err)
+	}
 	return nil
 }
 
@@ -86,8 +94,7 @@
 		return response, nil
 	}
 	defer response.Body.Close()
-	failure := statusError(response)
-	return nil, fenceError(failure)
+	return nil, fenceError(statusError(response))
 }
 
 // codeStaleFence is the error code with which an engine rejects a stale fencing token
@@ -96,13 +103,14 @@
 
 // fenceError returns ErrStaleFence if the engine rejected a stale fencing token, and
 // failure otherwise.
-func fenceError(failure *StatusError) error {
+func fenceError(failure error) error {
+	var status *StatusError
 	var document struct {
 		Error struct {
 			Code string `json:"code"`
 		} `json:"error"`
 	}
-	if failure.Status != http.StatusConflict || json.Unmarshal(failure.Body, &document) != nil ||
+	if !errors.As(failure, &status) || status.Status != http.StatusConflict || json.Unmarshal(status.Body, &document) != nil ||
 		document.Error.Code != codeStaleFence {
 		return failure
 	}
