--- a/cmd/cowslipgw/lists_admin.go
+++ b/cmd/cowslipgw/lists_admin.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 
+	"cowslipgw/internal/httpanswer"
 	"cowslipgw/internal/lists"
 	"cowslipgw/internal/structs"
 )
@@ -45,6 +46,9 @@
 	Faults       []lists.Fault  `json:"faults"`
 }
 
+// adminHTTP sends the requests to the admin API.
+var adminHTTP = &http.Client{Transport: httpanswer.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // adminClient is a client of one host's admin API.
 type adminClient struct {
 	address string
@@ -115,7 +119,7 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := adminHTTP.Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/httpanswer/answertest/answertest.go
+++ b/internal/httpanswer/answertest/answertest.go
@@ -40,6 +40,18 @@
 	})
 }
 
+// ServeReset reads the head of one request on each connection, writes answer and resets the connection. It returns
+// the address.
+func ServeReset(t *testing.T, answer string) string {
+	t.Helper()
+	return serve(t, func(c net.Conn) {
+		if readHead(c) {
+			_, _ = io.WriteString(c, answer)
+		}
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+}
+
 // serve passes each connection to handle and closes it.
 func serve(t *testing.T, handle func(net.Conn)) string {
 	t.Helper()
--- a/internal/logservice/client.go
+++ b/internal/logservice/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/samber/oops"
 
+	"cowslipgw/internal/httpanswer"
 	"cowslipgw/internal/structs"
 	"cowslipgw/internal/transport"
 )
@@ -34,12 +35,12 @@
 type Client struct {
 	base      string
 	http      *http.Client
-	transport *http.Transport
+	transport *httpanswer.Transport
 }
 
 // NewClient returns a client of the log service at the given "ip:port" address.
 func NewClient(network transport.Network, address string) *Client {
-	tr := transport.HTTPTransport(network)
+	tr := httpanswer.NewTransport(transport.HTTPTransport(network))
 	return &Client{
 		base:      "http://" + address + "/streams/",
 		http:      &http.Client{Transport: tr},
--- a/internal/standin/engine/models.go
+++ b/internal/standin/engine/models.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"cowslipgw/internal/httpanswer"
 	"cowslipgw/internal/standin"
 	"cowslipgw/internal/transport"
 )
@@ -71,7 +72,7 @@
 }
 
 func (e *Engine) download(model string) error {
-	httpTransport := transport.HTTPTransport(e.settings.Network)
+	httpTransport := httpanswer.NewTransport(transport.HTTPTransport(e.settings.Network))
 	defer httpTransport.CloseIdleConnections()
 	target := "http://" + e.settings.Weights + "/weights/" + url.PathEscape(model)
 	request, err := http.NewRequestWithContext(e.ctx, http.MethodGet, target, nil)
--- a/internal/upstream/broken_answer_test.go
+++ b/internal/upstream/broken_answer_test.go
@@ -71,3 +71,23 @@
 
 // TestTruncatedAnswers guards against taking the status of an answer that is cut for what became of the call.
 func TestTruncatedAnswers(t *testing.T) { refuseAll(t, answertest.Truncated) }
+
+// TestAnswerResetDuringUpload guards against a part of an answer that looks whole because the connection was reset
+// while a long request was still written.
+func TestAnswerResetDuringUpload(t *testing.T) {
+	const rounds = 20
+	client := newTCPClient(t)
+	long := make([]byte, 3<<20)
+	for _, answer := range []string{"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 503 X\r\n\r\npart", "HTTP/1.1 200 OK\r\n\r\n" + wholeAnswer} {
+		addr := answertest.ServeReset(t, answer)
+		for range rounds {
+			_, err := client.Chat(context.Background(), addr, upstream.CallHeader{}, long)
+			if !errors.Is(err, upstream.ErrIncompleteAnswer) {
+				t.Errorf("chat, %q: error %v", answer, err)
+			}
+			if err := post(client, addr, long); !errors.Is(err, upstream.ErrIncompleteAnswer) {
+				t.Errorf("app, %q: error %v", answer, err)
+			}
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"cowslipgw/internal/httpanswer"
 	"cowslipgw/internal/structs"
 	"cowslipgw/internal/trace"
 	"cowslipgw/internal/transport"
@@ -50,14 +51,14 @@
 // Client sends requests to engines and app services. It never retries a request.
 type Client struct {
 	options   ClientOptions
-	transport *http.Transport
+	transport *httpanswer.Transport
 }
 
 // NewClient returns a client with its own connection pool.
 func NewClient(options ClientOptions) *Client {
 	tr := transport.HTTPTransport(countingNetwork{options.Network})
 	tr.MaxResponseHeaderBytes = maxHeaderBytes
-	return &Client{options: options, transport: tr}
+	return &Client{options: options, transport: httpanswer.NewTransport(tr)}
 }
 
 // Close closes the idle connections.
@@ -110,7 +111,7 @@
 	var attempts []connUse
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*countingConn); ok {
+			if conn, ok := info.Conn.(*httpanswer.Conn).NetConn().(*countingConn); ok {
 				attempts = append(attempts, connUse{conn: conn, writesBefore: conn.writeCount()})
 			}
 		},
