store, older core: an answer whose head is none decides nothing

Status 000 of an app reached callers of the older core.

Cause: as in internal/forward; these clients use net/http's transport, which repairs such heads before anyone can look at them.

Change: httpanswer.Conn checks the bytes of a head as they arrive, from the moment at which net/http assigns the connection to a request. httpanswer.Transport asks for the result before it returns an answer, closes the connection of an invalid one, and checks the trailer at the end of a body.

Why it works: no answer is returned before the check of its whole head, and the check sees what was sent and not what net/http made of it.

--- a/internal/httpanswer/answertest/answertest.go
+++ b/internal/httpanswer/answertest/answertest.go
@@ -6,10 +6,35 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
 
+// Invalid returns answers that do not follow the protocol. They have the status and body of an answer that the client
+// would take. The status must have three digits.
+func Invalid(status, body string) []string {
+	line, fields := "HTTP/1.1 "+status+" X\r\n", fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	whole := line + fields + "\r\n" + body
+	chunks := chunk(body) + "0\r\n"
+	return []string{
+		strings.Replace(whole, status, "000", 1),
+		strings.Replace(whole, status, "999", 1),
+		fmt.Sprintf("HTTP/1.1 000 X\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole),
+		fmt.Sprintf("HTTP/1.1 103 X\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole),
+		"HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n" + whole,
+		"HTTP/1.1 103 X\r\nA b: 1\r\n\r\n" + whole,
+		line + "A b: 1\r\n" + fields + "\r\n" + body,
+		line + "A\x01b: 1\r\n" + fields + "\r\n" + body,
+		line + "A: 1\r\n b\r\n" + fields + "\r\n" + body,
+		line + strings.Replace(fields, ":", " :", 1) + "\r\n" + body,
+		line + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n",
+		line + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "A b: 1\r\n\r\n",
+		strings.Replace(line, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n" + fields + "\r\n" + body,
+		strings.Replace(whole, "HTTP/1.1", "HTTP/2.0", 1),
+	}
+}
+
 // Truncated returns answers with the given status whose connection ends before they do.
 func Truncated(status, part string) []string {
 	line := "HTTP/1.1 " + status + " X\r\n"
--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -27,6 +27,12 @@
 	writing sync.Mutex
 	// writeFailed is set if a write has failed. It is guarded by writing.
 	writeFailed bool
+
+	// head checks the head of the answer that is read; nil if none is checked. headErr is why it is invalid. Both are
+	// guarded by reading.
+	reading sync.Mutex
+	head    *headScanner
+	headErr error
 }
 
 // NewConn returns a connection over raw.
@@ -62,12 +68,41 @@
 // writeEndTimeout for a write in progress, which ends with an error after that.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.scan(p[:max(n, 0)])
 	if err == io.EOF && c.isWriteBroken() {
 		err = errResetInWrite
 	}
 	return n, err
 }
 
+// ExpectAnswer begins to check the next bytes as the head of an answer. The caller must have read all bytes of the
+// answer before.
+func (c *Conn) ExpectAnswer() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.head, c.headErr = &headScanner{}, nil
+}
+
+// HeadErr returns why the head of the expected answer is invalid, or nil. It is valid once the head was read.
+func (c *Conn) HeadErr() error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.headErr
+}
+
+// scan checks bytes that were read if they belong to a head.
+func (c *Conn) scan(data []byte) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.head == nil {
+		return
+	}
+	isComplete, err := c.head.scan(data)
+	if isComplete || err != nil {
+		c.head, c.headErr = nil, err
+	}
+}
+
 // isWriteBroken reports whether a write has failed, or fails now.
 func (c *Conn) isWriteBroken() bool {
 	if !c.writing.TryLock() {
--- a/internal/upstream/broken_answer_test.go
+++ b/internal/upstream/broken_answer_test.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// TestInvalidAnswers guards against passing on an answer that does not follow the protocol, and against acting on it.
+func TestInvalidAnswers(t *testing.T) { refuseAll(t, answertest.Invalid) }
+
 // TestTruncatedAnswers guards against taking the status of an answer that is cut for what became of the call.
 func TestTruncatedAnswers(t *testing.T) { refuseAll(t, answertest.Truncated) }
 
