--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/samber/oops"
 )
 
 // writeEndTimeout limits the wait for the result of a write when the peer has closed its side. It leaves time to
@@ -83,10 +85,13 @@
 	c.head, c.headErr = &headScanner{}, nil
 }
 
-// HeadErr returns why the head of the expected answer is invalid, or nil. It is valid once the head was read.
+// HeadErr returns why the head of the expected answer is invalid, or nil. It must be called after the head was read.
 func (c *Conn) HeadErr() error {
 	c.reading.Lock()
 	defer c.reading.Unlock()
+	if c.head != nil {
+		return oops.Wrapf(ErrInvalid, "answer began before its request")
+	}
 	return c.headErr
 }
 
