--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -12,8 +12,8 @@
 // with io.EOF only if it is complete.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a transport that uses base, which must have a DialContext and no connections. Its connections
-// are *Conn, also in the hooks of package httptrace.
+// NewTransport returns a transport for http URLs that uses base, which must have a DialContext and no connections. Its
+// connections are *Conn, also in the hooks of package httptrace.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
