--- a/internal/gateway/broken_head_test.go
+++ b/internal/gateway/broken_head_test.go
@@ -1,14 +1,9 @@
 package gateway_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
-	"time"
 )
 
 // passesOn reports which of the answers reach the caller of a host as an answer of the replica, or make the host
@@ -16,7 +11,7 @@
 func passesOn(t *testing.T, answers []string) (passed []string) {
 	t.Helper()
 	for _, answer := range answers {
-		server := keptReplica(t, answer)
+		server := rawReplica(t, answer)
 		for _, relayed := range []bool{false, true} {
 			for _, path := range []string{"/unsafe/1", "/draft/1"} {
 				fleet := newTestFleet(t, 2)
@@ -36,19 +31,6 @@
 	return passed
 }
 
-// keptReplica reads one request on each connection, writes the same bytes and closes a little later.
-func keptReplica(t *testing.T, answer string) *httptest.Server {
-	t.Helper()
-	return serveRaw(t, func(c net.Conn) {
-		defer c.Close()
-		if request, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.Copy(io.Discard, request.Body)
-			_, _ = io.WriteString(c, answer)
-			time.Sleep(20 * time.Millisecond)
-		}
-	})
-}
-
 // shown is the body of an answer, a whole stream.
 const shown = "data: x\n\n"
 
@@ -134,7 +116,7 @@
 	for _, trailer := range []string{"A b: 1\r\n", "A : 1\r\n", "A\x01: 1\r\n", "A\r\n"} {
 		for _, path := range []string{"/unsafe/1", "/draft/1"} {
 			gw := newTestGateway(t, 0)
-			gw.addReplica("r", keptReplica(t, head+trailer+"\r\n"))
+			gw.addReplica("r", rawReplica(t, head+trailer+"\r\n"))
 			reply := gw.call(t, "POST", path, "x", "Id", "a", "Key", "k")
 			if reply.complete && reply.status != http.StatusBadGateway {
 				t.Errorf("%q, %s: status %d, %q", trailer, path, reply.status, reply.body)
@@ -161,7 +143,7 @@
 	} {
 		for _, path := range []string{"/unsafe/1", "/draft/1"} {
 			gw := newTestGateway(t, 0)
-			gw.addReplica("r", keptReplica(t, answer))
+			gw.addReplica("r", rawReplica(t, answer))
 			reply := gw.call(t, "POST", path, "x", "Id", "a", "Key", "k")
 			if reply.status != http.StatusOK || !reply.complete || reply.body != shown {
 				t.Errorf("%q, %s: status %d, complete %v, %q", answer, path, reply.status, reply.complete, reply.body)
