--- a/internal/httpanswer/framing.go
+++ b/internal/httpanswer/framing.go
@@ -31,11 +31,7 @@
 	for len(digits) > 1 && digits[0] == '0' {
 		digits = digits[1:]
 	}
-	isNumber := len(value) > 0
-	for _, b := range value {
-		isNumber = isNumber && isDigit(b)
-	}
-	if !isNumber || f.length != nil && !bytes.Equal(f.length, digits) {
+	if !isNumber(value) || f.length != nil && !bytes.Equal(f.length, digits) {
 		return oops.With("length", string(value)).Wrapf(ErrInvalid, "length of the body")
 	}
 	f.length = digits
--- a/internal/httpanswer/status_line.go
+++ b/internal/httpanswer/status_line.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 
 	"github.com/samber/oops"
 )
 
+// maxStatus is the last status code of a defined class (RFC 9110, 15).
+const maxStatus = 599
+
 // statusLine is the first line of an answer.
 type statusLine struct {
 	// minor is the minor version of HTTP/1.
@@ -25,31 +29,32 @@
 // parseStatusLine parses a line without its end (RFC 9112, 4). The space before an empty reason may be missing, as it
 // is in answers of older servers. No request of a host asks for another protocol, so that 101 is no answer to one.
 func parseStatusLine(line []byte) (statusLine, error) {
-	const version, codeStart, codeEnd = "HTTP/1.", len("HTTP/1.1 "), len("HTTP/1.1 200")
-	isValid := len(line) >= codeEnd && bytes.HasPrefix(line, []byte(version)) && isDigit(line[len(version)]) && line[codeStart-1] == ' ' &&
-		line[codeStart] >= '1' && line[codeStart] <= '5' && isDigit(line[codeStart+1]) && isDigit(line[codeStart+2]) &&
-		(len(line) == codeEnd || line[codeEnd] == ' ') && isText(line[codeEnd:])
-	if !isValid {
+	rest, isHTTP := bytes.CutPrefix(line, []byte("HTTP/1."))
+	minor, rest, _ := bytes.Cut(rest, []byte{' '})
+	code, reason, _ := bytes.Cut(rest, []byte{' '})
+	status, _ := strconv.Atoi(string(code)) // checked with isNumber
+	isStatus := len(code) == 3 && isNumber(code) && status >= http.StatusContinue && status <= maxStatus
+	if !isHTTP || len(minor) != 1 || !isNumber(minor) || !isStatus || !isText(reason) {
 		return statusLine{}, oops.With("line", string(line)).Wrapf(ErrInvalid, "status line")
 	}
-	l := statusLine{minor: line[len(version)] - '0', status: decimal(line[codeStart:codeEnd])}
-	if l.status == http.StatusSwitchingProtocols {
+	if status == http.StatusSwitchingProtocols {
 		return statusLine{}, oops.Wrapf(ErrInvalid, "protocol switched")
 	}
-	return l, nil
+	return statusLine{minor: minor[0] - '0', status: status}, nil
 }
 
-func isDigit(b byte) bool { return '0' <= b && b <= '9' }
-
-// decimal returns the value of a few digits.
-func decimal(digits []byte) int {
-	value := 0
-	for _, b := range digits {
-		value = 10*value + int(b-'0')
+// isNumber reports whether text consists of one digit or more.
+func isNumber(text []byte) bool {
+	for _, b := range text {
+		if !isDigit(b) {
+			return false
+		}
 	}
-	return value
+	return len(text) > 0
 }
 
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
 // isText reports whether text contains no control bytes but tabs.
 func isText(text []byte) bool {
 	for _, b := range text {
