gateway, httpanswer: one piece for what stood twice

Found when the change was read once more: the end of an attempt whose answer could not be read stood in endRefused and servePlain (now endFailed), and the listener for raw connections in three tests (now answertest.Listen). The length of a body is kept as a number instead of its digits. readHead says why it does not check heads as they arrive.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -78,7 +78,8 @@
 	idleTimeout time.Duration
 }
 
-// readHead reads the next answer up to its body. It returns the head as the replica sent it, too.
+// readHead reads the next answer up to its body. It returns the head as the replica sent it, too. An answer to another
+// request may precede it in the buffer, so that the connection cannot check heads as they arrive.
 func (c *conn) readHead(request *http.Request) (*http.Response, []byte, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // has no error, since it reads nothing
 	c.head.recorded, c.head.isRecording = bytes.Clone(buffered), true
--- a/internal/forward/send_test.go
+++ b/internal/forward/send_test.go
@@ -14,32 +14,21 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cowslipgw/internal/httpanswer/answertest"
 )
 
 // serveRaw accepts connections and passes each to serve. It returns the listener's address
 // and the number of connections.
 func serveRaw(t *testing.T, serve func(c net.Conn, r *bufio.Reader)) (string, *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	var count atomic.Int64
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			count.Add(1)
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return listener.Addr().String(), &count
+	addr := answertest.Listen(t, func(c net.Conn) {
+		count.Add(1)
+		defer c.Close()
+		serve(c, bufio.NewReader(c))
+	})
+	return addr, &count
 }
 
 // reply returns an encoded answer to the request with the given ID.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,17 +178,21 @@
 // the answer is whole.
 func (x *exchange) endRefused(ctx context.Context, a *attempt) error {
 	if err := skipBody(a.answer); err != nil {
-		record := a.lease.Record()
-		a.end(x.failureResult(ctx, record), 1)
-		if isBroken(err) && ctx.Err() == nil {
-			x.breakOff(record)
-		}
+		x.endFailed(ctx, a, err)
 		return err
 	}
 	a.end(replica.Refused, 1)
 	return errRefused
 }
 
+// endFailed ends an attempt whose answer could not be read because of err.
+func (x *exchange) endFailed(ctx context.Context, a *attempt, err error) {
+	a.end(x.failureResult(ctx, a.lease.Record()), 1)
+	if isBroken(err) && ctx.Err() == nil {
+		x.breakOff(a.lease.Record())
+	}
+}
+
 // isRefusal reports whether an answer says that the replica did not execute the request.
 func (i AnswerInfo) isRefusal(status int) bool {
 	return i.NotExecuted || status == http.StatusMisdirectedRequest
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -57,10 +57,7 @@
 		retry := x.route.Kind == route.Safe && x.attempts < max(x.route.MaxAttempts, 1) && ctx.Err() == nil
 		switch {
 		case err != nil:
-			a.end(x.failureResult(ctx, a.lease.Record()), 1)
-			if isBroken(err) && ctx.Err() == nil {
-				x.breakOff(a.lease.Record())
-			}
+			x.endFailed(ctx, a, err)
 			x.g.events.Log(event.AttemptFailed, event.Fields{"request": x.call.ID, "replica": x.replica, "error": err.Error()})
 			if !retry {
 				x.fail(ctx, err)
--- a/internal/gateway/repeated_refusal_test.go
+++ b/internal/gateway/repeated_refusal_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cowslipgw/internal/httpanswer/answertest"
 )
 
 // repeatingReplica is a replica that refuses the first request on each connection, and writes that
@@ -54,21 +56,7 @@
 // serveRaw passes each connection to serve. It returns a server that stands for the address.
 func serveRaw(t *testing.T, serve func(net.Conn)) *httptest.Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return &httptest.Server{URL: "http://" + listener.Addr().String()}
+	return &httptest.Server{URL: "http://" + answertest.Listen(t, serve)}
 }
 
 // TestRepeatedRefusal guards against a replica that writes an earlier refusal once more on a kept
--- a/internal/httpanswer/answertest/answertest.go
+++ b/internal/httpanswer/answertest/answertest.go
@@ -57,7 +57,8 @@
 // closes a little later. It returns the address.
 func Serve(t *testing.T, answer string) string {
 	t.Helper()
-	return serve(t, func(c net.Conn) {
+	return Listen(t, func(c net.Conn) {
+		defer c.Close()
 		if readHead(c) {
 			_, _ = io.WriteString(c, answer)
 			time.Sleep(5 * time.Millisecond)
@@ -69,7 +70,8 @@
 // the address.
 func ServeReset(t *testing.T, answer string) string {
 	t.Helper()
-	return serve(t, func(c net.Conn) {
+	return Listen(t, func(c net.Conn) {
+		defer c.Close()
 		if readHead(c) {
 			_, _ = io.WriteString(c, answer)
 		}
@@ -77,8 +79,8 @@
 	})
 }
 
-// serve passes each connection to handle and closes it.
-func serve(t *testing.T, handle func(net.Conn)) string {
+// Listen passes each connection to serve, which must close it. It returns the address.
+func Listen(t *testing.T, serve func(net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -91,10 +93,7 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				handle(c)
-			}()
+			go serve(c)
 		}
 	}()
 	return listener.Addr().String()
--- a/internal/httpanswer/framing.go
+++ b/internal/httpanswer/framing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 
 	"github.com/samber/oops"
 )
@@ -10,8 +11,9 @@
 type framing struct {
 	// isCoded is set by a Transfer-Encoding.
 	isCoded bool
-	// length is the value of Content-Length without leading zeros; nil if there is none.
-	length []byte
+	// hasLength is set by a Content-Length, whose value is length.
+	hasLength bool
+	length    uint64
 }
 
 // add takes the framing from one field.
@@ -27,14 +29,11 @@
 
 // addLength takes the length of the body from a value. A repeated field must have the same value.
 func (f *framing) addLength(value []byte) error {
-	digits := value
-	for len(digits) > 1 && digits[0] == '0' {
-		digits = digits[1:]
-	}
-	if !isNumber(value) || f.length != nil && !bytes.Equal(f.length, digits) {
+	length, err := strconv.ParseUint(string(value), 10, 63)
+	if err != nil || f.hasLength && f.length != length {
 		return oops.With("length", string(value)).Wrapf(ErrInvalid, "length of the body")
 	}
-	f.length = digits
+	f.hasLength, f.length = true, length
 	return nil
 }
 
@@ -43,9 +42,9 @@
 	switch {
 	case f.isCoded && l.minor == 0:
 		return oops.Wrapf(ErrInvalid, "transfer encoding in HTTP/1.0")
-	case f.isCoded && f.length != nil:
+	case f.isCoded && f.hasLength:
 		return oops.Wrapf(ErrInvalid, "transfer encoding beside a length")
-	case !l.mayHaveBody() && (f.isCoded || f.length != nil && string(f.length) != "0"):
+	case !l.mayHaveBody() && (f.isCoded || f.length > 0):
 		return oops.With("status", l.status).Wrapf(ErrInvalid, "body after a status without one")
 	}
 	return nil
