turns: an owner that drains gives its preallocations back

What callers saw: programs that pause while the owner of their partition is stopped, as planned, are answered 402 with a quarter of their budget unused.

Cause: the owner's preallocation stays in the last record of the program. The next owner counts it as used, and asks for it only with the program's next turn, when the former owner has ended.

When a host drains, it appends a record without tokens for each program with a budget and an unused preallocation, and preallocates nothing from then on. The stop does not wait for these records.

Ruled out: forgiving the preallocations of all hosts that left, since a kill while draining looks the same.

--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -15,6 +15,9 @@
 	bytes int64
 	// done is closed when the change is stored or withdrawn.
 	done chan struct{}
+	// isRelease is set if the change only gives a preallocation back, which the host does not wait
+	// for when it stops.
+	isRelease bool
 	// rejected is set if the store accepts the change at no time.
 	rejected bool
 	// withdrawn is set if another owner has used up the budget meanwhile.
--- a/internal/turns/defer.go
+++ b/internal/turns/defer.go
@@ -40,12 +40,14 @@
 	o.startWriteLocked(p)
 }
 
-// Flush writes the deferred changes of all partitions and ends the deferral of further ones. It is
-// called when the host drains.
+// Flush writes the deferred changes of all partitions, ends the deferral of further ones, and gives
+// back the preallocations. It is called when the host drains.
 func (o *Owner) Flush() {
 	o.stopping.Store(true)
 	for _, p := range o.partitions {
 		p.mu.Lock()
+		p.draining = true
+		o.giveBackLocked(p)
 		o.startWriteLocked(p)
 		p.mu.Unlock()
 	}
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -296,11 +297,12 @@
 	}
 }
 
-// Idle reports whether no change is waiting to be stored.
+// Idle reports whether no change is waiting to be stored that the host has to wait for when it
+// stops.
 func (o *Owner) Idle() bool {
 	for _, p := range o.partitions {
 		p.mu.Lock()
-		hasPending := len(p.pending) > 0
+		hasPending := slices.ContainsFunc(p.pending, func(c *change) bool { return !c.isRelease })
 		p.mu.Unlock()
 		if hasPending {
 			return false
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -50,6 +50,8 @@
 	// pending changes are appended in order.
 	pending []*change
 	writing bool
+	// draining is set when the host drains; records then preallocate nothing.
+	draining bool
 	// deferral is the timer that starts a write of the deferred changes; nil if there are none.
 	deferral *time.Timer
 	// failingSince is when appends started to fail; zero while they succeed.
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -130,6 +130,14 @@
 	return next
 }
 
+// lastPreallocation is nextPreallocation for an owner that shuts down: only the turns that it has
+// granted without a record count, less those that are recorded along with it.
+func (g *program) lastPreallocation(recorded int) int {
+	next := max(g.unrecordedTokens()-recorded, 0)
+	g.preallocation = min(g.preallocation, next)
+	return next
+}
+
 // preallocatedTurns returns the number of largest turns that a record written now preallocates.
 func (g *program) preallocatedTurns() int {
 	if g.budget <= 0 || g.maxReservation <= 0 {
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -87,9 +87,16 @@
 	p.dropSupersededLocked()
 	var records []storelog.Record
 	size := 0
+	// recorded holds the tokens of turns that were granted without a record and have one now.
+	recorded := make(map[*program]int)
 	for _, c := range p.pending {
 		g := p.programLocked(&c.turn)
-		c.preallocation = g.nextPreallocation()
+		if p.draining {
+			recorded[g] += g.unrecorded[c.turn.ID]
+			c.preallocation = g.lastPreallocation(recorded[g])
+		} else {
+			c.preallocation = g.nextPreallocation()
+		}
 		t := c.turn
 		t.Session = ""
 		t.Writer, t.Preallocations, t.Forgiven = p.writer, g.preallocations(p.writer, c.preallocation), g.forgiven
