turns: the preallocation of a program that pauses is given back

What callers saw: programs that call tools while the owners of their turns are killed, or while all hosts are killed at once, are answered 402 with a quarter of their budget left.

Cause: what a lost owner had preallocated counts as used, whatever it had granted from it; one turn of it is forgiven. A drain gives it back, a kill can't.

An owner now gives back what it has not granted 0.6 s after the last grant or settlement of a program, by the record that a draining owner writes. The record waits up to 0.25 s for others of its partition, so that it costs few appends; with the wait it is stored before settle_ms (1 s) is over. It is not written while the store is slow (50 ms an append) or away, and a record that the store did not execute is withdrawn, so that a paused program can go on during an outage.

--- a/internal/turns/defer.go
+++ b/internal/turns/defer.go
@@ -47,7 +47,7 @@
 	for _, p := range o.partitions {
 		p.mu.Lock()
 		p.draining = true
-		o.giveBackLocked(p)
+		o.giveBackLocked(p, time.Now(), 0)
 		o.startWriteLocked(p)
 		p.mu.Unlock()
 	}
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -248,6 +248,7 @@
 	if args.Budget > 0 && used+args.MaxTokens > args.Budget {
 		return BeginReply{Outcome: Exhausted}, nil, nil
 	}
+	g.activeAt = time.Now()
 	if g.grantPreallocated(args.Turn, args.MaxTokens) {
 		g.expiry = max(g.expiry, t.Expiry)
 		return reply, history, nil
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -52,6 +52,8 @@
 	writing bool
 	// draining is set when the host drains; records then preallocate nothing.
 	draining bool
+	// idleCheck is the timer of the next check for programs that pause; nil without one.
+	idleCheck *time.Timer
 	// deferral is the timer that starts a write of the deferred changes; nil if there are none.
 	deferral *time.Timer
 	// failingSince is when appends started to fail; zero while they succeed.
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -34,6 +34,12 @@
 	// preallocation is the number of tokens that this owner may grant without a further
 	// record, by its last record.
 	preallocation int
+	// recorded is the same by the last record that is known to be stored.
+	recorded int
+	// activeAt is when this owner last granted or settled a turn of the program.
+	activeAt time.Time
+	// givingBack is set while a record that gives the preallocation back is waiting to be stored.
+	givingBack bool
 	// foreign holds the preallocations of other owners as of the last record of another
 	// owner, which has the offset foreignOffset.
 	foreign       map[int64]int
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"maps"
-	"strconv"
 )
 
 // release asks the other owners which turns they granted without a record for a program, so
@@ -37,29 +34,6 @@
 	return released
 }
 
-// giveBackLocked queues a record for each program whose recorded preallocation is larger than what
-// this owner has granted from it. A program that pauses until after the host has stopped would
-// otherwise find a part of its budget missing, since nobody knows any more whether it was used. The
-// record is a turn without tokens that callers cannot name, which owners of any build can read.
-func (o *Owner) giveBackLocked(p *partition) {
-	if !p.loaded {
-		return
-	}
-	for key, g := range p.programs {
-		if g.budget <= 0 || g.preallocation <= g.unrecordedTokens() {
-			continue
-		}
-		o.enqueueLocked(p, &change{isRelease: true, done: make(chan struct{}), turn: Turn{ID: releaseID(p.writer, key),
-			Account: key.account, Program: key.program, State: Closed, Expiry: g.expiry, offset: -1}})
-	}
-}
-
-// releaseID returns the ID of the record by which an owner gives the preallocation of a program back.
-func releaseID(writer int64, key programKey) string {
-	hash := sha256.Sum256([]byte(key.account + separator + key.program))
-	return separator + strconv.FormatUint(uint64(writer), 16) + "-" + hex.EncodeToString(hash[:])
-}
-
 // shouldRelease reports, at most once after each record of another owner, whether others
 // hold preallocations for a program. An owner that shuts down gives them back; the tokens
 // that one which is lost might have granted count as used until they are forgiven.
@@ -120,6 +94,6 @@
 	if g == nil {
 		return ReleaseReply{}, true
 	}
-	g.preallocation, g.released = 0, true
+	g.preallocation, g.recorded, g.released = 0, 0, true
 	return ReleaseReply{Open: maps.Clone(g.unrecorded)}, true
 }
--- a/internal/turns/settle.go
+++ b/internal/turns/settle.go
@@ -1,6 +1,9 @@
 package turns
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // End settles a turn. Any number of hosts may be lost at once, so a turn that is held only in the
 // memory of hosts does not count as stored.
@@ -41,6 +44,7 @@
 		// The store does not keep up. The host holds the turn until there is room.
 		return nil, EndReply{}
 	}
+	p.programLocked(&t).activeAt = time.Now()
 	var last *change
 	for piece := range Pieces(t, nil, o.limits.pieceBytes()) {
 		piece.offset = -1
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -36,7 +36,7 @@
 		end, err := o.append(ctx, p.logPartition, expected, records)
 		switch {
 		case err == nil:
-			p.markSaved(batch, end)
+			o.markSaved(p, batch, end)
 			backoff = minAppendBackoff
 		case errors.Is(err, storelog.ErrConflict):
 			// Another owner has written, or an append of this owner took effect although
@@ -47,10 +47,10 @@
 			}
 			p.revalidate(batch)
 		case errors.Is(err, storelog.ErrRejected):
-			p.recordFailure(batch, true)
+			o.recordFailure(p, batch, true)
 			o.reject(p, batch, err)
 		default:
-			p.recordFailure(batch, errors.Is(err, storelog.ErrUnavailable))
+			o.recordFailure(p, batch, errors.Is(err, storelog.ErrUnavailable))
 			o.appendFailed(p, err, &backoff)
 		}
 	}
@@ -91,7 +91,7 @@
 	recorded := make(map[*program]int)
 	for _, c := range p.pending {
 		g := p.programLocked(&c.turn)
-		if p.draining {
+		if p.draining || c.isRelease {
 			recorded[g] += g.unrecorded[c.turn.ID]
 			c.preallocation = g.lastPreallocation(recorded[g])
 		} else {
@@ -122,13 +122,14 @@
 
 // recordFailure records that the append of a batch failed. Refused is set if the store did
 // not execute it; an earlier append of the same change may still have an unknown outcome.
-func (p *partition) recordFailure(batch []*change, refused bool) {
+func (o *Owner) recordFailure(p *partition, batch []*change, refused bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range batch {
 		c.unknown = c.unknown || !refused
 		c.sent = c.unknown
 	}
+	o.withdrawReleasesLocked(p, batch)
 }
 
 // dropSupersededLocked completes the changes whose turn has reached a later state. The
@@ -144,7 +145,7 @@
 }
 
 // markSaved completes the changes of a batch that was stored.
-func (p *partition) markSaved(batch []*change, end int64) {
+func (o *Owner) markSaved(p *partition, batch []*change, end int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.end, p.verifiedAt = max(p.end, end), time.Now()
@@ -158,6 +159,7 @@
 		c.markSavedLocked(p)
 	}
 	p.dropCompletedLocked()
+	o.watchIdleLocked(p, idleDelay)
 }
 
 // markSavedLocked completes a change that was stored.
@@ -166,7 +168,10 @@
 	// contains a smaller preallocation than that of the last append.
 	g := p.programLocked(&c.turn)
 	if !c.completed && !c.readBack {
-		g.preallocation = c.preallocation
+		g.preallocation, g.recorded = c.preallocation, c.preallocation
+	}
+	if c.isRelease {
+		g.givingBack = false
 	}
 	delete(g.unrecorded, c.turn.ID)
 	c.completeLocked()
