turns: a turn that another owner granted counts once after its settlement

What callers saw: programs whose turns were under way when their owner was killed or stopped are answered 402 although their budget holds one more turn.

Cause: a turn that was granted from a preallocation has no record. If it is settled at the next owner, its tokens count there, and its reservation counts as well, within the preallocation of the owner that is gone.

Replies and settlements now name the granter and the reserved tokens. An owner that stores the settlement of a turn that another one granted counts that one's preallocation as much smaller. The granter, if it still runs, gives up the rest of its preallocation when it reads such a settlement. Hosts of earlier builds neither send nor read the two fields, and count as before.

--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -79,6 +79,7 @@
 	asked := time.Now()
 	begun, flattened := x.g.turns.Begin(ctx, args, func(bytes int) bool { return x.memory.grow(int64(bytes)) })
 	x.beginTime = time.Since(asked)
+	t.record.Granter, t.record.Reserved = begun.Granter, args.MaxTokens
 	if f := x.g.refusalFor(begun.Outcome); f != nil {
 		if begun.Uncertain {
 			t.close(streamResult{})
--- a/internal/turns/budget_test.go
+++ b/internal/turns/budget_test.go
@@ -52,15 +52,24 @@
 	network *network
 	owners  []*turns.Owner
 	hosts   []peers.Host
-	// next is the number of the next turn; open holds the IDs of granted turns that have not
-	// ended.
+	// next is the number of the next turn; open holds the granted turns that have not ended.
 	next int
-	open []string
+	open []openTurn
+	// tellsGranter is set if settlements name the owner that granted the turn.
+	tellsGranter bool
+	// detectsLosses is set if owners detect the loss of others.
+	detectsLosses bool
 	// tokensSent is the number of tokens sent to the caller; open turns count with their
 	// maximum.
 	tokensSent int
 }
 
+// openTurn is a granted turn that has not ended, and the owner that granted it without a record.
+type openTurn struct {
+	id      string
+	granter int64
+}
+
 const (
 	programBudget = 1500
 	maxTurnTokens = 100
@@ -80,8 +89,8 @@
 	r.next++
 	owner := r.owners[r.random.IntN(len(r.owners))]
 	args := turns.BeginArgs{Account: "a", Program: "p", Turn: id, Budget: programBudget, MaxTokens: maxTurnTokens, RetentionMS: 600_000}
-	if owner.Begin(deadline(t, 300*time.Millisecond), args).Outcome == turns.Granted {
-		r.open = append(r.open, id)
+	if reply := owner.Begin(deadline(t, 300*time.Millisecond), args); reply.Outcome == turns.Granted {
+		r.open = append(r.open, openTurn{id, reply.Granter})
 		r.tokensSent += maxTurnTokens
 	}
 }
@@ -90,14 +99,17 @@
 	if len(r.open) == 0 {
 		return
 	}
-	id := r.open[0]
+	open := r.open[0]
 	r.open = r.open[1:]
 	if r.random.IntN(4) == 0 {
 		return // the host that served the turn is lost
 	}
 	used := r.random.IntN(maxTurnTokens)
 	r.tokensSent -= maxTurnTokens - used
-	turn := ended(id, "", used)
+	turn := ended(open.id, "", used)
+	if r.tellsGranter {
+		turn.Granter, turn.Reserved = open.granter, maxTurnTokens
+	}
 	turn.Expiry = time.Now().Add(time.Hour).UnixMilli()
 	if r.random.IntN(3) == 0 {
 		turn.State, turn.Input, turn.Output = turns.Closed, nil, nil
@@ -148,24 +160,33 @@
 // budget because owners are lost, moved, or cut off from the store or from each other, in
 // any order.
 func TestBudgetOverLostAndMovedOwners(t *testing.T) {
-	simulateBudgets(t, false, programBudget)
+	simulateBudgets(t, budgetSimulation{}, programBudget)
 }
 
 // TestBudgetOverKnownLosses does the same with owners that detect the loss of others. The
 // preallocations of lost owners are then forgiven, up to the maximum of one turn.
 func TestBudgetOverKnownLosses(t *testing.T) {
-	simulateBudgets(t, true, programBudget+maxTurnTokens)
+	simulateBudgets(t, budgetSimulation{detectsLosses: true}, programBudget+maxTurnTokens)
+}
+
+// TestBudgetOverGrantsSettledElsewhere does the same with settlements that name the owner that granted the
+// turn, whose preallocation then counts as much less.
+func TestBudgetOverGrantsSettledElsewhere(t *testing.T) {
+	simulateBudgets(t, budgetSimulation{tellsGranter: true}, programBudget)
+	simulateBudgets(t, budgetSimulation{tellsGranter: true, detectsLosses: true}, programBudget+maxTurnTokens)
 }
 
-// simulateBudgets runs simulations in which at most limit tokens may be sent to the caller.
-func simulateBudgets(t *testing.T, detectsLosses bool, limit int) {
+// simulateBudgets runs simulations of a kind in which at most limit tokens may be sent to the caller.
+func simulateBudgets(t *testing.T, kind budgetSimulation, limit int) {
 	t.Helper()
 	granted := 0
 	for seed := range uint64(60) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			r := &budgetSimulation{random: rand.New(rand.NewPCG(seed, 1)), log: storelog.NewMemory(),
-				network: &network{owners: make(map[int64]*turns.Owner), detectsLosses: detectsLosses}, owners: make([]*turns.Owner, 3), hosts: make([]peers.Host, 3)}
+			r := kind
+			r.random, r.log = rand.New(rand.NewPCG(seed, 1)), storelog.NewMemory()
+			r.network = &network{owners: make(map[int64]*turns.Owner), detectsLosses: kind.detectsLosses}
+			r.owners, r.hosts = make([]*turns.Owner, 3), make([]peers.Host, 3)
 			for n := range r.owners {
 				r.replace(n)
 			}
--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -10,6 +10,11 @@
 	// preallocation is the number of tokens that this owner may grant without a further
 	// record once the change is stored.
 	preallocation int
+	// convertedAt is one more than the foreignOffset of the program at which the granter's preallocation was
+	// reduced by the turn; 0 if it was not.
+	convertedAt int64
+	// storedElsewhere is set if another owner has stored a record of the turn meanwhile.
+	storedElsewhere bool
 	// held counts the contents of all pending changes, of which this one has bytes.
 	held  *atomic.Int64
 	bytes int64
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -156,7 +156,7 @@
 	if reply.Outcome == Granted {
 		var outcome Outcome
 		if reply.Chain, outcome = c.completeChain(ctx, owner, args.Account, args.Parent, reply.Chain, reply.ChainBytes, room); outcome != Located {
-			return BeginReply{Outcome: outcome, Uncertain: true}
+			return BeginReply{Outcome: outcome, Uncertain: true, Granter: reply.Granter}
 		}
 	}
 	reply.Uncertain = uncertain && reply.Outcome == Unavailable
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -67,6 +67,9 @@
 	// The caller must settle the turn as failed, since only the caller can tell that the
 	// turn does not run.
 	Uncertain bool
+	// Granter identifies the owner if it granted the turn from its preallocation, without a record of the turn; 0
+	// otherwise, and in replies of earlier builds. The turn's settlement repeats it.
+	Granter int64
 	// First is set if no other turn of the program has run or is open, as far as the owner knows.
 	// Hosts of earlier builds do not set it.
 	First bool
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -251,6 +251,7 @@
 	g.activeAt = time.Now()
 	if g.grantPreallocated(args.Turn, args.MaxTokens) {
 		g.expiry = max(g.expiry, t.Expiry)
+		reply.Granter = p.writer
 		return reply, history, nil
 	}
 	if args.PreallocatedOnly {
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -86,9 +86,15 @@
 	t.offset = r.Offset
 	p.mergeLocked(&t)
 	g := p.programLocked(&t)
+	_, granted := g.unrecorded[t.ID]
 	delete(g.unrecorded, t.ID)
 	if t.Writer == p.writer {
 		p.markReadBackLocked(&t)
+	} else {
+		p.markStoredElsewhereLocked(t.ID)
+		if granted {
+			g.grantSettledElsewhere()
+		}
 	}
 	// A partition that is loaded again may have no later record of another owner than those
 	// that this one repeated in its own.
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -43,6 +43,11 @@
 	// Forgiven is the number of preallocated tokens that are no longer counted, although
 	// turns that used them may have been lost with their hosts.
 	Forgiven int `cbor:"14,keyasint,omitempty"`
+	// Granter is the owner that granted the turn from its preallocation without a record, and Reserved
+	// the number of tokens; 0 otherwise, and in settlements of earlier builds. Records do not
+	// contain them.
+	Granter  int64 `cbor:"16,keyasint,omitempty"`
+	Reserved int   `cbor:"17,keyasint,omitempty"`
 
 	// offset is that of the record in the store, or -1 if it is not known, and size the length
 	// of the input and the output. Owners keep both in memory, and the contents apart.
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -97,8 +97,9 @@
 		} else {
 			c.preallocation = g.nextPreallocation()
 		}
+		p.convertLocked(g, c)
 		t := c.turn
-		t.Session = ""
+		t.Session, t.Granter, t.Reserved = "", 0, 0
 		t.Writer, t.Preallocations, t.Forgiven = p.writer, g.preallocations(p.writer, c.preallocation), g.forgiven
 		value, err := cbor.Marshal(t)
 		if err != nil {
@@ -239,6 +240,15 @@
 	}
 }
 
+// markStoredElsewhereLocked marks the pending changes of a turn of which another owner has stored a record.
+func (p *partition) markStoredElsewhereLocked(id string) {
+	for _, c := range p.pending {
+		if c.turn.ID == id {
+			c.storedElsewhere = true
+		}
+	}
+}
+
 // reject handles a batch that the store accepts at no time. If it contains several changes, they
 // are written one by one, since the others must not wait behind the rejected one.
 func (o *Owner) reject(p *partition, batch []*change, err error) {
@@ -271,7 +281,7 @@
 	}
 	if t.State == Ended && t.ID == turnOf(t.ID) {
 		t.State, t.Parent, t.Input, t.Output = Closed, "", nil, nil
-		o.enqueueLocked(p, &change{turn: t, done: make(chan struct{})})
+		o.enqueueLocked(p, &change{turn: t, done: make(chan struct{}), convertedAt: c.convertedAt, storedElsewhere: c.storedElsewhere})
 		o.startWriteLocked(p)
 	}
 }
