turns: what a lost owner has granted without a record is known to a second host

What callers saw: programs whose turns follow each other closely are answered 402 after kills of their owners, with up to four turns left in their budgets; programs that met a paused owner were told so, too.

Cause: a preallocation of an owner that is gone counts as used whatever it had granted from it. One turn of it is forgiven, 5 s after a caller first asked for it, and nothing if the host never returns. 402 was the answer all the while, and ends the program.

* An owner has a copy of each grant without a record kept by a backup, one of the next owners in another failure domain, which the program's records name, before the turn begins.
The next owner reads the copies and thereby seals them: an owner that was only paused or cut off gets no further copy kept, and must write a record.
Turns that were granted and may be under way get records.
Without a backup that answers, a turn waits for its own record; with none to choose, preallocations count as before.
* The first candidate of a partition does this every second for the programs that other owners hold preallocations of, and stores the result, so that a program that pauses survives the loss of the backup as well.
Owners of earlier builds that drain are asked by the message they know.
* The end of an owner is noticed when a later run of its host appears, not when a caller asks; a host that has been gone for a minute counts as ended.
* While it is not known yet what another owner has granted and the budget may hold the turn, it is refused with 503 and the time after which that is known.

Hosts of earlier builds ignore the new fields; one that is asked to keep a copy refuses, and is not asked again for 2 s to 2 minutes.

--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -125,6 +125,7 @@
 	p.client = turns.NewClient(p.table, peerCaller, monitor.AnswerTime)
 	p.owner = turns.NewOwner(p.table.Self(), store, p.client, s.StorePartitions, events)
 	p.owner.SetLimits(turnLimits(s))
+	p.owner.SetBackups(p.client)
 	p.client.SetOwner(p.owner)
 	var err error
 	quotaClient := quota.NewClient(p.table, peerCaller, limiter)
@@ -253,7 +254,11 @@
 	case <-time.After(preloadDelay):
 	case <-ctx.Done():
 	}
-	every(ctx, preloadInterval, func() { p.owner.Preload(ctx, p.client.Owns) })
+	every(ctx, preloadInterval, func() {
+		p.owner.ObserveHosts(append(p.table.Others(), p.table.Self()))
+		p.owner.Preload(ctx, p.client.Owns)
+		p.owner.TakeOver(ctx, p.client.Owns)
+	})
 }
 
 // every calls f immediately and then at each interval, until ctx ends.
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -80,7 +80,7 @@
 	begun, flattened := x.g.turns.Begin(ctx, args, func(bytes int) bool { return x.memory.grow(int64(bytes)) })
 	x.beginTime = time.Since(asked)
 	t.record.Granter, t.record.Reserved = begun.Granter, args.MaxTokens
-	if f := x.g.refusalFor(begun.Outcome); f != nil {
+	if f := x.g.refusalFor(begun); f != nil {
 		if begun.Uncertain {
 			t.close(streamResult{})
 		}
@@ -137,12 +137,16 @@
 	return x.admitProgram(ctx)
 }
 
-// refusalFor returns the refusal for the outcome of Begin, or nil if the turn may run.
-func (g *Gateway) refusalFor(o turns.Outcome) *refusal {
-	switch o {
+// refusalFor returns the refusal for the result of Begin, or nil if the turn may run.
+func (g *Gateway) refusalFor(begun turns.BeginReply) *refusal {
+	switch begun.Outcome {
 	case turns.Granted:
 		return nil
 	case turns.Exhausted:
+		if begun.RetryMS > 0 {
+			retry := time.Duration(begun.RetryMS) * time.Millisecond
+			return &refusal{status: http.StatusServiceUnavailable, reason: "spending of the program is not known", retryAfter: retry}
+		}
 		return &refusal{status: http.StatusPaymentRequired, reason: "token budget of the program is spent"}
 	case turns.UnknownParent:
 		return &refusal{status: http.StatusNotFound, reason: noSuchTurn, detail: "turn is unknown"}
--- a/internal/turns/budget_test.go
+++ b/internal/turns/budget_test.go
@@ -22,13 +22,15 @@
 	mu          sync.Mutex
 	owners      map[int64]*turns.Owner
 	partitioned bool
+	// silent is set if owners do not answer to a Release, as if they were paused, and reach their backups.
+	silent bool
 	// detectsLosses is set if owners detect the loss of others.
 	detectsLosses bool
 }
 
 func (n *network) Release(_ context.Context, args turns.ReleaseArgs) (turns.ReleaseReply, turns.Presence) {
 	n.mu.Lock()
-	owner, cut := n.owners[args.Writer], n.partitioned
+	owner, cut := n.owners[args.Writer], n.partitioned || n.silent
 	n.mu.Unlock()
 	switch {
 	case cut:
@@ -43,6 +45,53 @@
 	}
 }
 
+// networkBackups are the backups of the owner self: the other owners of a network.
+type networkBackups struct {
+	*network
+	self int64
+}
+
+func (b networkBackups) Choose(_ int, usable func(int64) bool) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	chosen := int64(0)
+	for writer := range b.owners {
+		if writer != b.self && usable(writer) && (chosen == 0 || writer < chosen) {
+			chosen = writer
+		}
+	}
+	return chosen
+}
+
+func (b networkBackups) Keep(_ context.Context, args turns.KeepArgs) turns.KeepOutcome {
+	backup := b.reachable(args.Backup)
+	switch {
+	case backup == nil:
+		return turns.KeepFailed
+	case backup.Keep(args):
+		return turns.Kept
+	default:
+		return turns.KeepRefused
+	}
+}
+
+func (b networkBackups) Seal(_ context.Context, args turns.SealArgs) (turns.SealReply, bool) {
+	if backup := b.reachable(args.Backup); backup != nil {
+		return backup.Seal(args)
+	}
+	return turns.SealReply{}, false
+}
+
+// reachable returns an owner, or nil if it is lost or the network is partitioned.
+func (b networkBackups) reachable(writer int64) *turns.Owner {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.partitioned {
+		return nil
+	}
+	return b.owners[writer]
+}
+
 // budgetSimulation simulates one program that never ends over several owners, while the
 // store fails and owners are lost. Every granted turn generates its tokens; some hosts that
 // serve a turn are lost with it and never settle it.
@@ -59,6 +108,8 @@
 	tellsGranter bool
 	// detectsLosses is set if owners detect the loss of others.
 	detectsLosses bool
+	// hasBackups is set if the owners copy their grants to each other.
+	hasBackups bool
 	// tokensSent is the number of tokens sent to the caller; open turns count with their
 	// maximum.
 	tokensSent int
@@ -81,6 +132,9 @@
 	delete(r.network.owners, turns.WriterOf(r.hosts[n]))
 	r.hosts[n] = peers.Host{ID: strconv.Itoa(n), Incarnation: incarnations.Add(1)}
 	r.owners[n] = turns.NewOwner(r.hosts[n], r.log, r.network, 8, event.Discard())
+	if r.hasBackups {
+		r.owners[n].SetBackups(networkBackups{r.network, turns.WriterOf(r.hosts[n])})
+	}
 	r.network.owners[turns.WriterOf(r.hosts[n])] = r.owners[n]
 }
 
@@ -146,7 +200,11 @@
 		r.log.SetFault(nil)
 	case 5:
 		r.network.mu.Lock()
-		r.network.partitioned = !r.network.partitioned
+		if r.hasBackups && r.random.IntN(2) == 0 {
+			r.network.silent = !r.network.silent
+		} else {
+			r.network.partitioned = !r.network.partitioned
+		}
 		r.network.mu.Unlock()
 	case 6, 7, 8, 9:
 		r.settle()
@@ -176,6 +234,12 @@
 	simulateBudgets(t, budgetSimulation{tellsGranter: true, detectsLosses: true}, programBudget+maxTurnTokens)
 }
 
+// TestBudgetWithCopiedGrants does the same with owners that copy to each other what they grant without a record.
+func TestBudgetWithCopiedGrants(t *testing.T) {
+	simulateBudgets(t, budgetSimulation{tellsGranter: true, hasBackups: true}, programBudget)
+	simulateBudgets(t, budgetSimulation{tellsGranter: true, hasBackups: true, detectsLosses: true}, programBudget+maxTurnTokens)
+}
+
 // simulateBudgets runs simulations of a kind in which at most limit tokens may be sent to the caller.
 func simulateBudgets(t *testing.T, kind budgetSimulation, limit int) {
 	t.Helper()
--- a/internal/turns/change.go
+++ b/internal/turns/change.go
@@ -10,16 +10,21 @@
 	// preallocation is the number of tokens that this owner may grant without a further
 	// record once the change is stored.
 	preallocation int
+	// backup keeps copies of what is granted from the preallocation.
+	backup int64
 	// convertedAt is one more than the foreignOffset of the program at which the granter's preallocation was
 	// reduced by the turn; 0 if it was not.
 	convertedAt int64
-	// storedElsewhere is set if another owner has stored a record of the turn meanwhile.
-	storedElsewhere bool
+	// hadRecord is set if the turn had a record before, or another owner has stored one: it does not count
+	// within its granter's preallocation.
+	hadRecord bool
 	// held counts the contents of all pending changes, of which this one has bytes.
 	held  *atomic.Int64
 	bytes int64
 	// done is closed when the change is stored or withdrawn.
 	done chan struct{}
+	// isLast is set if the record preallocates only what is granted already.
+	isLast bool
 	// isRelease is set if the change only gives a preallocation back, which the host does not wait
 	// for when it stops.
 	isRelease bool
--- a/internal/turns/convert.go
+++ b/internal/turns/convert.go
@@ -9,18 +9,11 @@
 	if granter == 0 || granter == p.writer || c.convertedAt == g.foreignOffset+1 {
 		return
 	}
-	if t := p.turns[c.turn.ID]; c.storedElsewhere || t != nil && t.offset >= 0 {
-		return // Another owner has stored a settlement, and counts the turn once.
+	if c.hadRecord {
+		return
 	}
 	c.convertedAt = g.foreignOffset + 1
 	if counted, known := g.foreign[granter]; known {
 		g.foreign[granter] = max(counted-c.turn.Reserved, 0)
 	}
 }
-
-// grantSettledElsewhere ends the preallocation of this owner but for what it has granted, since another
-// owner has stored the settlement of one of the turns and counts as much less.
-func (g *program) grantSettledElsewhere() {
-	g.preallocation = min(g.preallocation, g.unrecordedTokens())
-	g.recorded = min(g.recorded, g.preallocation)
-}
--- a/internal/turns/giveback.go
+++ b/internal/turns/giveback.go
@@ -19,17 +19,17 @@
 	slowAppend = 50 * time.Millisecond
 )
 
-// giveBackLocked queues a record for each program that has been inactive for idle, and whose recorded preallocation
-// is larger than what this owner has granted from it. Once this owner has stopped or is lost, nobody
-// knows whether the rest was used, so that a part of the budget would be missing. The record is a turn
-// without tokens that callers cannot name, which owners of any build can read. It returns the time until
-// the next program has been inactive as long, or 0 if there is none.
+// giveBackLocked gives back the preallocation of each program that has been inactive for idle. Once this owner
+// has stopped or is lost, nobody may know how much of it was used, so that a part of the budget would be
+// missing. Turns that were granted without a record get one. The record that gives the rest back is a turn without
+// tokens that callers cannot name, which owners of any build can read. It returns the time until the next
+// program has been inactive as long, or 0 if there is none.
 func (o *Owner) giveBackLocked(p *partition, now time.Time, idle time.Duration) (next time.Duration) {
 	if !p.loaded {
 		return 0
 	}
 	for key, g := range p.programs {
-		if g.budget <= 0 || g.givingBack || g.preallocation <= g.unrecordedTokens() {
+		if g.budget <= 0 || g.givingBack || g.preallocation == 0 && len(g.unrecorded) == 0 {
 			continue
 		}
 		if remaining := idle - now.Sub(g.activeAt); remaining > 0 {
@@ -39,12 +39,23 @@
 			continue
 		}
 		g.givingBack = true
-		o.enqueueLocked(p, &change{isRelease: true, done: make(chan struct{}), turn: Turn{ID: releaseID(p.writer, key),
-			Account: key.account, Program: key.program, State: Closed, Expiry: g.expiry, offset: -1}})
+		for turn, tokens := range g.unrecorded {
+			if p.turns[turn] == nil {
+				o.enqueueLocked(p, &change{isLast: true, done: make(chan struct{}), turn: Turn{ID: turn, Account: key.account,
+					Program: key.program, State: Open, Tokens: tokens, Expiry: g.expiry, offset: -1}})
+			}
+		}
+		o.enqueueLocked(p, o.releaseChange(p, key, g))
 	}
 	return next
 }
 
+// releaseChange returns the record by which this owner gives back what it has not granted.
+func (o *Owner) releaseChange(p *partition, key programKey, g *program) *change {
+	return &change{isLast: true, isRelease: true, done: make(chan struct{}), turn: Turn{ID: releaseID(p.writer, key),
+		Account: key.account, Program: key.program, State: Closed, Expiry: g.expiry, offset: -1}}
+}
+
 // releaseID returns the ID of the record by which an owner gives the preallocation of a program back.
 func releaseID(writer int64, key programKey) string {
 	hash := sha256.Sum256([]byte(key.account + separator + key.program))
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -1,5 +1,7 @@
 package turns
 
+import "time"
+
 // Outcome is an owner's decision on a request to begin or locate a turn.
 type Outcome uint8
 
@@ -49,6 +51,12 @@
 	PreallocatedOnly bool
 }
 
+// turn returns the turn that is to begin.
+func (a *BeginArgs) turn() Turn {
+	return Turn{ID: a.Turn, Parent: a.Parent, Account: a.Account, Program: a.Program, State: Open, Tokens: a.MaxTokens,
+		Expiry: time.Now().UnixMilli() + a.RetentionMS, offset: -1}
+}
+
 // BeginReply is the response to BeginArgs.
 type BeginReply struct {
 	Outcome Outcome
@@ -70,6 +78,10 @@
 	// Granter identifies the owner if it granted the turn from its preallocation, without a record of the turn; 0
 	// otherwise, and in replies of earlier builds. The turn's settlement repeats it.
 	Granter int64
+	// RetryMS is set if Outcome is Exhausted, the budget may hold the turn nonetheless, and it is not known yet what other
+	// owners have granted: the time in milliseconds after which the turn may be begun again. Hosts of earlier
+	// builds do not set it.
+	RetryMS int64
 	// First is set if no other turn of the program has run or is open, as far as the owner knows.
 	// Hosts of earlier builds do not set it.
 	First bool
@@ -127,6 +139,41 @@
 	Chain []byte
 }
 
+// KeepOutcome is the result of a request to keep a copy of a grant.
+type KeepOutcome uint8
+
+// The values of KeepOutcome.
+const (
+	// KeepFailed: the backup did not reply, or is another run of its host. It may have the copy.
+	KeepFailed KeepOutcome = iota
+	// Kept: the backup has the copy.
+	Kept
+	// KeepRefused: the next owner has read the copies, and the preallocation has ended.
+	KeepRefused
+)
+
+// KeepArgs requests that a backup keep a copy of a turn that the owner identified by Writer is about to
+// grant without a record.
+type KeepArgs struct {
+	Backup, Writer         int64
+	Account, Program, Turn string
+	Tokens                 int
+}
+
+// KeepReply is the response to KeepArgs.
+type KeepReply struct{ Kept bool }
+
+// SealArgs requests the copies of the grants of the owner identified by Writer, and that no further ones be
+// accepted.
+type SealArgs struct {
+	Backup, Writer   int64
+	Account, Program string
+}
+
+// SealReply is the response to SealArgs. Open holds the turns that were granted, some of which may be
+// settled since, with their tokens.
+type SealReply struct{ Open map[string]int }
+
 // ReleaseArgs requests that the owner identified by Writer stop granting preallocated
 // tokens for a program.
 type ReleaseArgs struct {
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -36,8 +36,14 @@
 // Owner decides for the partitions that this host owns. Its methods are safe for concurrent
 // use.
 type Owner struct {
-	log        storelog.Log
-	peers      Peers
+	log   storelog.Log
+	peers Peers
+	// backups keep copies of this owner's grants; nil if none do. CopiesOfOthers are those that it keeps itself.
+	backups     Backups
+	backupRests backupRests
+	copies      grantCopies
+	// writer identifies this owner in records.
+	writer     int64
 	events     *event.Logger
 	partitions [Partitions]*partition
 	// appendTime is the average duration of an append.
@@ -58,9 +64,9 @@
 // partitions.
 func NewOwner(self peers.Host, log storelog.Log, remote Peers, partsPerTopic int, events *event.Logger) *Owner {
 	limits := DefaultLimits()
-	o := &Owner{log: log, peers: remote, events: events, loadSlots: make(chan struct{}, maxLoads),
-		limits: limits, contents: newContentCache(limits.ContentBytes)}
 	writer := WriterOf(self)
+	o := &Owner{log: log, peers: remote, writer: writer, events: events, loadSlots: make(chan struct{}, maxLoads),
+		limits: limits, contents: newContentCache(limits.ContentBytes)}
 	for id := range o.partitions {
 		o.partitions[id] = newPartition(id, partsPerTopic, writer, o.contents)
 	}
@@ -75,6 +81,14 @@
 
 // Begin decides whether a turn may begin, and reserves its tokens.
 func (o *Owner) Begin(ctx context.Context, args BeginArgs) BeginReply {
+	reply := o.begin(ctx, args)
+	if reply.Outcome == Exhausted {
+		reply.RetryMS = o.unresolvedFor(o.partitions[PartitionOf(args.Account, args.Program)], args).Milliseconds()
+	}
+	return reply
+}
+
+func (o *Owner) begin(ctx context.Context, args BeginArgs) BeginReply {
 	p := o.partitions[PartitionOf(args.Account, args.Program)]
 	if args.PreallocatedOnly {
 		return o.beginPreallocated(p, args)
@@ -82,27 +96,27 @@
 	if !o.ensureLoaded(ctx, p) {
 		return BeginReply{Outcome: Unavailable}
 	}
-	reply, history, c := o.decide(p, args)
-	if reply.Outcome == UnknownParent || (reply.Outcome == Exhausted && !p.verifiedWithin(exhaustedAge)) {
+	d := o.decide(p, args)
+	if d.reply.Outcome == UnknownParent || (d.reply.Outcome == Exhausted && !p.verifiedWithin(exhaustedAge)) {
 		// Another owner may have written since the last read.
 		if o.sync(ctx, p) != nil {
 			return BeginReply{Outcome: Unavailable}
 		}
-		reply, history, c = o.decide(p, args)
+		d = o.decide(p, args)
 	}
-	if reply.Outcome == Exhausted && o.release(ctx, p, args) {
-		reply, history, c = o.decide(p, args)
+	if d.reply.Outcome == Exhausted && o.release(ctx, p, args) {
+		d = o.decide(p, args)
 	}
-	for waited := time.Duration(0); reply.Outcome == Exhausted && waited < settlementWait && p.awaitsSettlement(args); waited += settlementPoll {
+	for waited := time.Duration(0); d.reply.Outcome == Exhausted && waited < settlementWait && p.awaitsSettlement(args); waited += settlementPoll {
 		time.Sleep(settlementPoll)
-		reply, history, c = o.decide(p, args)
+		d = o.decide(p, args)
 	}
-	if reply.Outcome == Exhausted && p.awaitsSettlement(args) {
+	if d.reply.Outcome == Exhausted && p.awaitsSettlement(args) {
 		// The settlement may have been stored by the former owner of the partition.
 		if o.sync(ctx, p) != nil {
 			return BeginReply{Outcome: Unavailable}
 		}
-		reply, history, c = o.decide(p, args)
+		d = o.decide(p, args)
 	}
 	if p.shouldRelease(args) {
 		go func() {
@@ -111,16 +125,20 @@
 			o.release(ctx, p, args)
 		}()
 	}
-	if c != nil {
+	if !o.ensureCopied(ctx, p, args, &d) {
+		return BeginReply{Outcome: Unavailable, Uncertain: true}
+	}
+	if c := d.change; c != nil {
 		select {
 		case <-c.done:
 		case <-ctx.Done():
-			return BeginReply{Outcome: Unavailable, Uncertain: !p.withdraw(c)}
+			return BeginReply{Outcome: Unavailable, Uncertain: !p.withdraw(c) || d.backup != 0}
 		}
 		if outcome := p.outcomeOf(c); outcome != Granted {
-			return BeginReply{Outcome: outcome}
+			return BeginReply{Outcome: outcome, Uncertain: d.backup != 0}
 		}
 	}
+	reply, history := d.reply, d.history
 	if reply.Outcome != Granted || len(history) == 0 {
 		return reply
 	}
@@ -139,11 +157,28 @@
 	if args.Parent != "" {
 		return BeginReply{Outcome: Unavailable}
 	}
-	reply, _, _ := o.decide(p, args)
-	if reply.Outcome != Granted {
+	d := o.decide(p, args)
+	if d.reply.Outcome != Granted {
 		return BeginReply{Outcome: Unavailable}
 	}
-	return reply
+	if !o.ensureCopied(context.Background(), p, args, &d) {
+		return BeginReply{Outcome: Unavailable, Uncertain: true}
+	}
+	return d.reply
+}
+
+// ensureCopied makes the backup keep a copy of a turn that was granted without a record. If it does not, the turn
+// gets a record. It reports false if that is not possible.
+func (o *Owner) ensureCopied(ctx context.Context, p *partition, args BeginArgs, d *decision) bool {
+	if d.backup == 0 {
+		return true
+	}
+	outcome := o.copyGrant(ctx, d.backup, p, args)
+	if outcome == Kept {
+		return true
+	}
+	d.change, d.reply.Granter = o.recordGrant(p, args, outcome), 0
+	return d.change != nil
 }
 
 // outcomeOf returns the outcome of a completed reservation.
@@ -200,29 +235,29 @@
 }
 
 // decide reserves the tokens of a turn if they fit in its budget, and returns the history that
-// the turn continues. The returned change is nil if the reservation needs no record or is denied.
-func (o *Owner) decide(p *partition, args BeginArgs) (BeginReply, path, *change) {
+// the turn continues.
+func (o *Owner) decide(p *partition, args BeginArgs) decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.loaded {
-		return BeginReply{Outcome: Unavailable}, nil, nil
+		return refused(Unavailable)
 	}
 	reply := BeginReply{Outcome: Granted}
 	var history path
 	if args.Parent != "" {
 		parent := p.turns[args.Parent]
 		if parent == nil || !p.canContinueLocked(parent) {
-			return BeginReply{Outcome: UnknownParent}, nil, nil
+			return refused(UnknownParent)
 		}
 		if parent.Account != args.Account {
-			return BeginReply{Outcome: ForeignParent}, nil, nil
+			return refused(ForeignParent)
 		}
 		var complete bool
 		if history, complete = p.pathLocked(parent); !complete {
-			return BeginReply{Outcome: UnknownParent}, nil, nil
+			return refused(UnknownParent)
 		}
 		if history.size() > maxHistory {
-			return BeginReply{Outcome: HistoryTooLong}, nil, nil
+			return refused(HistoryTooLong)
 		}
 		reply.ChainBytes, reply.Replica = history.size(), parent.Replica
 		if parent.Program != args.Program {
@@ -230,11 +265,7 @@
 			args.Parent = ""
 		}
 	}
-	t := Turn{
-		ID: args.Turn, Parent: args.Parent, Account: args.Account, Program: args.Program,
-		State: Open, Tokens: args.MaxTokens, offset: -1,
-		Expiry: time.Now().UnixMilli() + args.RetentionMS,
-	}
+	t := args.turn()
 	g := p.programLocked(&t)
 	g.budget, g.released = args.Budget, false
 	if args.Parent == "" && !reply.Detached {
@@ -246,26 +277,26 @@
 	}
 	reply.First = used == 0
 	if args.Budget > 0 && used+args.MaxTokens > args.Budget {
-		return BeginReply{Outcome: Exhausted}, nil, nil
+		return refused(Exhausted)
 	}
 	g.activeAt = time.Now()
 	if g.grantPreallocated(args.Turn, args.MaxTokens) {
 		g.expiry = max(g.expiry, t.Expiry)
 		reply.Granter = p.writer
-		return reply, history, nil
+		return decision{reply: reply, history: history, backup: g.backup}
 	}
 	if args.PreallocatedOnly {
-		return BeginReply{Outcome: Unavailable}, nil, nil
+		return refused(Unavailable)
 	}
 	// If no write is in progress, this change is written in spite of earlier failures, since
 	// its append detects that the store has recovered.
 	if p.writing && p.failingForLocked(appendFailureLimit) {
-		return BeginReply{Outcome: Unavailable}, nil, nil
+		return refused(Unavailable)
 	}
 	c := &change{budget: args.Budget, done: make(chan struct{}), turn: t}
 	o.enqueueLocked(p, c)
 	o.startWriteLocked(p)
-	return reply, history, c
+	return decision{reply: reply, history: history, change: c}
 }
 
 // enqueueLocked applies a change and queues it for the store. The caller must start a write, or
--- a/internal/turns/partition.go
+++ b/internal/turns/partition.go
@@ -91,9 +91,10 @@
 	if t.Writer == p.writer {
 		p.markReadBackLocked(&t)
 	} else {
-		p.markStoredElsewhereLocked(t.ID)
+		p.markRecordedElsewhereLocked(t.ID)
 		if granted {
-			g.grantSettledElsewhere()
+			// The other owner counts as much less of the preallocation.
+			g.endPreallocation()
 		}
 	}
 	// A partition that is loaded again may have no later record of another owner than those
--- a/internal/turns/program.go
+++ b/internal/turns/program.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"cowslipgw/internal/boottime"
 )
 
 const (
@@ -40,10 +42,17 @@
 	activeAt time.Time
 	// givingBack is set while a record that gives the preallocation back is waiting to be stored.
 	givingBack bool
+	// backup has copies of all that this owner has granted without a record; 0 if no host has. RecordedAt is when
+	// the record that names it was stored, and sealedBackup a backup that refused a copy.
+	backup       int64
+	recordedAt   boottime.Instant
+	sealedBackup int64
 	// foreign holds the preallocations of other owners as of the last record of another
 	// owner, which has the offset foreignOffset.
 	foreign       map[int64]int
 	foreignOffset int64
+	// foreignBackups holds the backups of these owners.
+	foreignBackups map[int64]int64
 	// releaseOffset is the foreignOffset at which the other owners were last asked to
 	// release their preallocations before the budget was exhausted.
 	releaseOffset int64
@@ -121,6 +130,9 @@
 	if g.unrecordedTokens()+tokens > g.preallocation {
 		return false
 	}
+	if g.backup != 0 && boottime.Since(g.recordedAt) > copyLease {
+		return false
+	}
 	g.unrecorded[turn] = tokens
 	return true
 }
@@ -182,6 +194,21 @@
 	return all
 }
 
+// backups returns the backups for a record of writer, including its own, of the owners with a preallocation.
+func (g *program) backups(writer, own int64, preallocations map[int64]int) map[int64]int64 {
+	all := make(map[int64]int64, len(preallocations))
+	for owner := range preallocations {
+		backup := g.foreignBackups[owner]
+		if owner == writer {
+			backup = own
+		}
+		if backup != 0 {
+			all[owner] = backup
+		}
+	}
+	return all
+}
+
 // applyForeignRecord adopts the preallocations in a record of another owner.
 func (g *program) applyForeignRecord(offset, self int64, t *Turn) {
 	if offset < g.foreignOffset {
@@ -189,6 +216,13 @@
 	}
 	g.foreignOffset = offset
 	g.forgiven = t.Forgiven
-	g.foreign = maps.Clone(t.Preallocations)
+	g.foreign, g.foreignBackups = maps.Clone(t.Preallocations), maps.Clone(t.Backups)
 	delete(g.foreign, self)
+	delete(g.foreignBackups, self)
+}
+
+// endPreallocation ends the preallocation of this owner but for what it has granted.
+func (g *program) endPreallocation() {
+	g.preallocation = min(g.preallocation, g.unrecordedTokens())
+	g.recorded = min(g.recorded, g.preallocation)
 }
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"maps"
+	"time"
+
+	"cowslipgw/internal/peers"
 )
 
 // release asks the other owners which turns they granted without a record for a program, so
@@ -13,9 +16,10 @@
 	p.mu.Lock()
 	g := p.programs[key]
 	var foreign map[int64]int
+	var backups map[int64]int64
 	offset := int64(0)
 	if g != nil {
-		foreign, offset = maps.Clone(g.foreign), g.foreignOffset
+		foreign, backups, offset = maps.Clone(g.foreign), maps.Clone(g.foreignBackups), g.foreignOffset
 	}
 	p.mu.Unlock()
 	released := false
@@ -24,16 +28,55 @@
 			continue
 		}
 		reply, presence := o.peers.Release(ctx, ReleaseArgs{Writer: writer, Account: args.Account, Program: args.Program})
-		switch {
-		case presence == Present:
-			released = p.applyRelease(key, g, offset, writer, reply) || released
-		case presence == Terminated && o.terminated.settled(writer):
+		if presence == Present {
+			o.terminated.answered(writer)
+			released = o.applyRelease(p, key, offset, writer, reply.Open) || released
+			continue
+		}
+		if sealed, ok := o.sealCopies(ctx, SealArgs{Backup: backups[writer], Writer: writer, Account: args.Account, Program: args.Program}); ok {
+			released = o.applyRelease(p, key, offset, writer, sealed.Open) || released
+			continue
+		}
+		if o.hasEnded(writer, presence) {
 			released = p.forgive(key, g, offset, writer, args.MaxTokens) || released
 		}
 	}
 	return released
 }
 
+// hasEnded reports whether an owner has ended so long ago that no turn that it granted is under way.
+func (o *Owner) hasEnded(writer int64, presence Presence) bool {
+	if presence == Terminated {
+		return o.terminated.settled(writer)
+	}
+	return presence == Unreachable && o.terminated.removed(writer)
+}
+
+// ObserveHosts records which runs of hosts exist, and thereby when earlier ones had ended.
+func (o *Owner) ObserveHosts(hosts []peers.Host) { o.terminated.observe(hosts, time.Now()) }
+
+// unresolvedFor returns how long it may take until it is known whether an exhausted budget holds a turn, since
+// other owners may have granted less than they have preallocated; 0 if it does not hold it.
+func (o *Owner) unresolvedFor(p *partition, args BeginArgs) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.programs[programKey{args.Account, args.Program}]
+	if g == nil {
+		return 0
+	}
+	unresolved, longest, now := 0, time.Duration(0), time.Now()
+	for writer, tokens := range g.foreign {
+		if wait := o.terminated.unresolvedFor(writer, now); tokens > 0 && wait > 0 {
+			unresolved += tokens
+			longest = max(longest, wait)
+		}
+	}
+	if g.used()-unresolved+args.MaxTokens > args.Budget {
+		return 0
+	}
+	return longest
+}
+
 // shouldRelease reports, at most once after each record of another owner, whether others
 // hold preallocations for a program. An owner that shuts down gives them back; the tokens
 // that one which is lost might have granted count as used until they are forgiven.
@@ -62,20 +105,23 @@
 	return p.programs[key] == g && g.foreignOffset == offset
 }
 
-// applyRelease removes the preallocation that another owner has released. It reports false
-// if a record of another owner was read since.
-func (p *partition) applyRelease(key programKey, g *program, offset, writer int64, reply ReleaseReply) bool {
+// applyRelease removes the preallocation of another owner. The turns that it had granted get records, since
+// this owner may be lost as well. It reports false if a record of another owner was read since.
+func (o *Owner) applyRelease(p *partition, key programKey, offset, writer int64, open map[string]int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.unchangedLocked(key, g, offset) {
+	g := p.programs[key]
+	if g == nil || g.foreignOffset != offset {
 		return false
 	}
 	delete(g.foreign, writer)
-	for turn, tokens := range reply.Open {
+	for turn, tokens := range open {
 		if p.turns[turn] == nil {
-			g.unrecorded[turn] = tokens
+			o.enqueueLocked(p, &change{done: make(chan struct{}), turn: Turn{ID: turn, Account: key.account, Program: key.program,
+				State: Open, Tokens: tokens, Expiry: g.expiry, offset: -1}})
 		}
 	}
+	o.startWriteLocked(p)
 	return true
 }
 
--- a/internal/turns/service.go
+++ b/internal/turns/service.go
@@ -97,6 +97,29 @@
 	})
 }
 
+// Keep calls Owner.Keep.
+func (s *Service) Keep(args KeepArgs, reply *KeepReply) error {
+	return s.call("Keep", backupTimeout, func(context.Context) error {
+		reply.Kept = s.owner.Keep(args)
+		return nil
+	})
+}
+
+// errNotBackup is returned if a Seal call names another run of this host.
+var errNotBackup = errors.New("not the backup that is asked for its copies")
+
+// Seal calls Owner.Seal.
+func (s *Service) Seal(args SealArgs, reply *SealReply) error {
+	return s.call("Seal", backupTimeout, func(context.Context) error {
+		got, isBackup := s.owner.Seal(args)
+		if !isBackup {
+			return errNotBackup
+		}
+		*reply = got
+		return nil
+	})
+}
+
 // errNotWriter is returned if a Release call names the writer ID of another owner.
 var errNotWriter = errors.New("not the writer that is asked to release")
 
--- a/internal/turns/settle.go
+++ b/internal/turns/settle.go
@@ -37,7 +37,8 @@
 	if c := p.pendingLocked(t.ID, t.State); c != nil {
 		return c, EndReply{}
 	}
-	if known := p.turns[t.ID]; known != nil && known.State >= t.State {
+	known := p.turns[t.ID]
+	if known != nil && known.State >= t.State {
 		return nil, EndReply{Kept: true}
 	}
 	if size := int64(len(t.Input) + len(t.Output)); size > shortContents && o.held.Load()+size > int64(o.limits.ContentBytes) {
@@ -48,7 +49,7 @@
 	var last *change
 	for piece := range Pieces(t, nil, o.limits.pieceBytes()) {
 		piece.offset = -1
-		last = &change{turn: piece, done: make(chan struct{})}
+		last = &change{turn: piece, hadRecord: known != nil, done: make(chan struct{})}
 		o.enqueueLocked(p, last)
 	}
 	if o.canDeferLocked(p, t) {
--- a/internal/turns/sweep.go
+++ b/internal/turns/sweep.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/storelog"
 )
@@ -30,6 +31,7 @@
 			return
 		case <-time.After(sweepInterval):
 		}
+		o.copies.expire(boottime.Now())
 		for _, p := range o.partitions {
 			if !owns(p.id) {
 				p.unloadExpired(time.Now())
--- a/internal/turns/turn.go
+++ b/internal/turns/turn.go
@@ -43,6 +43,9 @@
 	// Forgiven is the number of preallocated tokens that are no longer counted, although
 	// turns that used them may have been lost with their hosts.
 	Forgiven int `cbor:"14,keyasint,omitempty"`
+	// Backups holds, by writer, the hosts that keep copies of what owners grant from their preallocations; an owner
+	// that is missing has none, as in records of earlier builds.
+	Backups map[int64]int64 `cbor:"18,keyasint,omitempty"`
 	// Granter is the owner that granted the turn from its preallocation without a record, and Reserved
 	// the number of tokens; 0 otherwise, and in settlements of earlier builds. Records do not
 	// contain them.
--- a/internal/turns/write.go
+++ b/internal/turns/write.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"cowslipgw/internal/boottime"
 	"cowslipgw/internal/event"
 	"cowslipgw/internal/guard"
 	"cowslipgw/internal/storelog"
@@ -29,7 +30,7 @@
 	ctx := context.Background()
 	backoff := minAppendBackoff
 	for {
-		batch, records, expected := p.takeBatch(o.limits.batchBytes())
+		batch, records, expected := o.takeBatch(p, o.limits.batchBytes())
 		if len(batch) == 0 {
 			return
 		}
@@ -81,7 +82,7 @@
 
 // takeBatch returns the changes for the next append, whose records have up to maxBytes in total,
 // and the expected end offset. If there are none, it marks the write as ended.
-func (p *partition) takeBatch(maxBytes int) ([]*change, []storelog.Record, int64) {
+func (o *Owner) takeBatch(p *partition, maxBytes int) ([]*change, []storelog.Record, int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropSupersededLocked()
@@ -91,16 +92,21 @@
 	recorded := make(map[*program]int)
 	for _, c := range p.pending {
 		g := p.programLocked(&c.turn)
-		if p.draining || c.isRelease {
+		if p.draining || c.isLast {
 			recorded[g] += g.unrecorded[c.turn.ID]
 			c.preallocation = g.lastPreallocation(recorded[g])
 		} else {
 			c.preallocation = g.nextPreallocation()
 		}
+		if c.backup = o.chooseBackupLocked(p, g); c.backup != g.backup {
+			// Grants are copied to the backup of the stored record.
+			g.endPreallocation()
+		}
 		p.convertLocked(g, c)
 		t := c.turn
 		t.Session, t.Granter, t.Reserved = "", 0, 0
 		t.Writer, t.Preallocations, t.Forgiven = p.writer, g.preallocations(p.writer, c.preallocation), g.forgiven
+		t.Backups = g.backups(p.writer, c.backup, t.Preallocations)
 		value, err := cbor.Marshal(t)
 		if err != nil {
 			panic("turn cannot be encoded: " + err.Error())
@@ -170,6 +176,7 @@
 	g := p.programLocked(&c.turn)
 	if !c.completed && !c.readBack {
 		g.preallocation, g.recorded = c.preallocation, c.preallocation
+		g.backup, g.recordedAt = c.backup, boottime.Now()
 	}
 	if c.isRelease {
 		g.givingBack = false
@@ -240,11 +247,11 @@
 	}
 }
 
-// markStoredElsewhereLocked marks the pending changes of a turn of which another owner has stored a record.
-func (p *partition) markStoredElsewhereLocked(id string) {
+// markRecordedElsewhereLocked marks the pending changes of a turn of which another owner has stored a record.
+func (p *partition) markRecordedElsewhereLocked(id string) {
 	for _, c := range p.pending {
 		if c.turn.ID == id {
-			c.storedElsewhere = true
+			c.hadRecord = true
 		}
 	}
 }
@@ -281,7 +288,7 @@
 	}
 	if t.State == Ended && t.ID == turnOf(t.ID) {
 		t.State, t.Parent, t.Input, t.Output = Closed, "", nil, nil
-		o.enqueueLocked(p, &change{turn: t, done: make(chan struct{}), convertedAt: c.convertedAt, storedElsewhere: c.storedElsewhere})
+		o.enqueueLocked(p, &change{turn: t, done: make(chan struct{}), convertedAt: c.convertedAt, hadRecord: c.hadRecord})
 		o.startWriteLocked(p)
 	}
 }
--- a/internal/turns/writer.go
+++ b/internal/turns/writer.go
@@ -15,8 +15,11 @@
 // incarnationMask selects the incarnation in a writer ID.
 const incarnationMask = 1<<32 - 1
 
+// hostPart returns the part of a writer ID that identifies the host.
+func hostPart(writer int64) int64 { return int64(uint64(writer) &^ incarnationMask) }
+
 // sameHost reports whether two writer IDs belong to the same host.
-func sameHost(a, b int64) bool { return uint64(a)&^incarnationMask == uint64(b)&^incarnationMask }
+func sameHost(a, b int64) bool { return hostPart(a) == hostPart(b) }
 
 // Presence is what a call to another owner reveals about its state.
 type Presence uint8
