quota: an owner knows what others have admitted, and when

What callers saw: an account got a second burst after the loss of the hosts that knew its usage, or while the owner of its bucket was paused; after changes of owners it was refused for seconds within its rate.

Cause: only the host that admits a request knew of it, and told two others a sum without ages. A host that took over without reports had a full bucket and an empty window; hosts without an answer from the owner admitted their share of a burst that the owner had admitted before; a sum that was reported counted as new.

Hosts now send with each request what others than the owner have admitted for them in the window, and when; the owner counts the larger of that and of the reports. What granters of which it has no reports have admitted is extrapolated to hosts that were lost since or have restarted. What the owner admits is taken from a host's local share. Usage is reported at once, with the ages of the requests, to a host that has become a next owner.

Ruled out: an empty bucket after each change of owners (it would refuse accounts that send little).

--- a/cmd/cowslipgw/gateway_notices.go
+++ b/cmd/cowslipgw/gateway_notices.go
@@ -18,7 +18,7 @@
 
 // receive handles what another host tells beside its own condition.
 func (p *gatewayProcess) receive(b peers.Heartbeat) {
-	p.limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, b.Usage)
+	p.limiter.ApplyUsage(b.Host.ID, b.Host.Incarnation, peers.UsageReport{Counts: b.Usage, Past: b.PastUsage})
 	p.admission.ApplyReport(b.Host.ID, b.InFlight)
 	p.learnFleetInFlight(b.FleetInFlight)
 	for _, limit := range b.Limits {
--- a/internal/peers/announce.go
+++ b/internal/peers/announce.go
@@ -92,7 +92,7 @@
 }
 
 // usageMessages returns messages with the usage of client accounts for the given hosts.
-func (t *Table) usageMessages(usage map[string]map[uint32]Usage) []Datagram {
+func (t *Table) usageMessages(usage map[string]UsageReport) []Datagram {
 	if len(usage) == 0 {
 		return nil
 	}
@@ -100,13 +100,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var due []Datagram
-	for id, counts := range usage {
+	for id, report := range usage {
 		m := t.members[id]
 		if m == nil {
 			continue
 		}
 		message := t.messageLocked(condition)
-		message.Usage = counts
+		message.Usage, message.PastUsage = report.Counts, report.Past
 		due = append(due, Datagram{[]Host{m.host}, message})
 	}
 	return due
--- a/internal/peers/beacon.go
+++ b/internal/peers/beacon.go
@@ -21,7 +21,7 @@
 	conn  *net.UDPConn
 	// usage returns the usage of client accounts to send, by the ID of the host that needs
 	// it; received is called with the messages of other hosts that contain usage or a notice.
-	usage    func() map[string]map[uint32]Usage
+	usage    func() map[string]UsageReport
 	received func(Heartbeat)
 	// inFlight returns the reports to send; nil for none.
 	inFlight func() InFlightReports
@@ -29,7 +29,7 @@
 }
 
 // NewBeacon returns a beacon that listens on the address of the table's own host.
-func NewBeacon(table *Table, usage func() map[string]map[uint32]Usage, received func(Heartbeat), events *event.Logger) (*Beacon, error) {
+func NewBeacon(table *Table, usage func() map[string]UsageReport, received func(Heartbeat), events *event.Logger) (*Beacon, error) {
 	addr, err := net.ResolveUDPAddr("udp4", table.self.Addr)
 	if err != nil {
 		return nil, oops.Wrapf(err, "resolve own heartbeat address")
--- a/internal/peers/beacon_test.go
+++ b/internal/peers/beacon_test.go
@@ -29,7 +29,7 @@
 	farthest := table.ringLocked()[38]
 	farthest.host.Addr = other.LocalAddr().String()
 	var beats atomic.Int64
-	beacon, err := NewBeacon(table, func() map[string]map[uint32]Usage { return nil }, func(Heartbeat) {}, event.Discard())
+	beacon, err := NewBeacon(table, func() map[string]UsageReport { return nil }, func(Heartbeat) {}, event.Discard())
 	is.NoErr(err)
 	defer func() { _ = beacon.Close() }()
 	go func() {
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	newBeacon := func(id string, received func(Heartbeat)) (*Beacon, Host) {
 		table := NewTable(Host{ID: id, Incarnation: 1, Addr: "127.0.0.1:0"}, func() bool { return true })
-		beacon, err := NewBeacon(table, func() map[string]map[uint32]Usage { return nil }, received, event.Discard())
+		beacon, err := NewBeacon(table, func() map[string]UsageReport { return nil }, received, event.Discard())
 		is.NoErr(err)
 		t.Cleanup(func() { _ = beacon.Close() })
 		return beacon, Host{ID: id, Incarnation: 1, Addr: beacon.conn.LocalAddr().String()}
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -24,6 +24,8 @@
 	// Usage is the usage of client accounts at the host since the start of its incarnation,
 	// by the hash of the account's name. It is sent to the next owners of each account.
 	Usage map[uint32]Usage `cbor:"4,keyasint,omitempty"`
+	// PastUsage is the same as UsageReport.Past. Hosts of earlier builds neither send nor read it.
+	PastUsage map[uint32][]uint32 `cbor:"19,keyasint,omitempty"`
 	// Sequence orders the heartbeats of one incarnation.
 	Sequence uint64 `cbor:"7,keyasint,omitempty"`
 	// Hello asks the receiver for its own heartbeat.
@@ -46,6 +48,14 @@
 	Missing     bool
 }
 
+// UsageReport is the usage of client accounts that one host reports to another, by the hash of the account's name.
+type UsageReport struct {
+	Counts map[uint32]Usage
+	// Past tells a host that has become a receiver how old the requests are that Usage.Recent counts: the numbers of
+	// requests in parts of the window of equal length, the newest first.
+	Past map[uint32][]uint32
+}
+
 // Usage counts the requests of a client account.
 type Usage struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -28,6 +28,8 @@
 	// maxConcurrentPrograms is the number of programs of the expected size that a bucket
 	// may admit at once, as far as the rate and burst of a window allow.
 	maxConcurrentPrograms = 2
+	// maxLossFactor limits how far the usage that few hosts remember is extrapolated.
+	maxLossFactor = 3
 )
 
 // bucket is this host's view of the token bucket of one client account.
@@ -37,9 +39,15 @@
 	rate, burst float64
 	bound       Bound
 	level       float64
-	// admitted and committed count requests in the window: those admitted, and those that
-	// the admitted programs are expected to need.
+	// admitted and committed count requests in the window: those that this host has admitted,
+	// and those that the programs admitted by all hosts are expected to need.
 	admitted, committed slidingWindow
+	// reported counts the requests in the window that other hosts have admitted by their reports.
+	// Those of a host that was lost are missing, unless this host received its reports.
+	reported slidingWindow
+	// elsewhere counts the same requests by what the hosts say that ask this one to admit
+	// requests.
+	elsewhere elsewhere
 	// localLevel is the number of requests that this host may admit on its own while it
 	// cannot reach the owner.
 	localLevel float64
@@ -52,12 +60,17 @@
 	// usage counts what this host has admitted and committed, at usedAt for the last time.
 	usage  peers.Usage
 	usedAt boottime.Instant
+	// received counts what this host had admitted for its callers.
+	received received
+	// youngUntil is the end of the first window after the start of this host.
+	youngUntil boottime.Instant
 	// remoteUsage holds the last usage received from each other host.
 	remoteUsage map[string]hostUsage
 }
 
 func newBucket(bound Bound) *bucket {
-	return &bucket{bound: bound, remoteUsage: make(map[string]hostUsage)}
+	return &bucket{bound: bound, remoteUsage: make(map[string]hostUsage), elsewhere: make(elsewhere),
+		received: make(received)}
 }
 
 // hostUsage is the last usage received from one incarnation of a host.
@@ -76,12 +89,26 @@
 // If they are not a majority of the known hosts, this host counts as partitioned from the
 // others, and the live hosts may use only their proportional share.
 func (f fleetSize) usableShare() float64 {
-	if 2*f.alive <= f.known {
+	if f.isMinority() {
 		return float64(f.alive) / float64(f.known)
 	}
 	return 1
 }
 
+// isMinority reports whether the live hosts are not a majority of the known ones.
+func (f fleetSize) isMinority() bool { return 2*f.alive <= f.known }
+
+// lossFactor returns the factor by which a count over the live hosts, made when there were then live hosts, is
+// multiplied to cover those that were lost since and, of the live ones, the young ones that have started in the
+// window. A minority counts for itself only.
+func (f fleetSize) lossFactor(then, young int) float64 {
+	remembering := f.alive - young
+	if f.isMinority() || remembering <= 0 {
+		return 1
+	}
+	return min(max(float64(then)/float64(remembering), 1), maxLossFactor)
+}
+
 // windowLimit returns the number of requests that the account may use in a window.
 func (b *bucket) windowLimit() float64 { return b.rate*b.bound.Window.Seconds() + b.burst }
 
@@ -99,6 +126,7 @@
 	seconds := max(now.Sub(b.lastRefill).Seconds(), 0)
 	b.lastRefill = now
 	b.admitted.advance(now, b.bound.Window)
+	b.reported.advance(now, b.bound.Window)
 	b.committed.advance(now, b.bound.Window)
 	gained := seconds * b.rate * f.usableShare()
 	b.level = min(b.level+gained, b.capacity()*f.usableShare())
@@ -107,6 +135,35 @@
 	b.localLevel = min(b.localLevel+gained*share, max(b.burst*f.usableShare()*share, 1))
 }
 
+// admittedByAll returns the number of requests that all hosts have admitted in the window.
+func (b *bucket) admittedByAll() float64 {
+	return b.admitted.sum + max(b.reported.sum, b.admittedElsewhere())
+}
+
+// admittedElsewhere returns the number of requests that others have admitted by what the hosts say that ask this
+// one. It is an estimate, unless this host has started in the window, and was told as much by an owner that
+// knew the window.
+func (b *bucket) admittedElsewhere() float64 {
+	admitted, estimate := b.elsewhere.sum(b.lastRefill, b.bound.Window)
+	if b.lastRefill < b.youngUntil && b.reported.sum >= admitted {
+		return admitted
+	}
+	return estimate
+}
+
+// windowOfAll returns the window of admittedByAll.
+func (b *bucket) windowOfAll() slidingWindow {
+	all := b.admitted
+	if b.reported.sum >= b.admittedElsewhere() {
+		all.merge(&b.reported)
+		return all
+	}
+	for _, w := range b.elsewhere {
+		all.merge(&w.estimate)
+	}
+	return all
+}
+
 // take admits one request if the bucket holds a token for it. A program's first request
 // also requires capacity for the whole program, r.Cost, so that admitted programs can
 // finish. A host that is not the bucket's owner limits itself to its share.
@@ -115,7 +172,7 @@
 		b.cost = r.Cost
 	}
 	b.refill(now, f)
-	if b.level < 1 || b.admitted.sum+1 > b.windowLimit()*f.usableShare() || (!owner && b.localLevel < 1) {
+	if b.level < 1 || b.admittedByAll()+1 > b.windowLimit()*f.usableShare() || (!owner && b.localLevel < 1) {
 		return false
 	}
 	if r.Start {
@@ -154,6 +211,17 @@
 	b.usage.Committed += uint32(int32(n))
 }
 
+// receive records that by has admitted a request of a caller of this host. What the owner admits
+// reduces what this host may admit on its own, so that the loss of the owner gives the account no
+// second burst.
+func (b *bucket) receive(now boottime.Instant, f fleetSize, by granter, owner bool) {
+	b.refill(now, f)
+	b.received.add(by, 1, f.alive, now, b.bound.Window)
+	if owner {
+		b.localLevel = max(b.localLevel-1, 0)
+	}
+}
+
 // refund reverses take for a request that was admitted and did not run.
 func (b *bucket) refund(now boottime.Instant, f fleetSize, r Request, owner bool) {
 	b.refill(now, f)
@@ -174,7 +242,8 @@
 	deficit := 1 - b.level
 	rate := b.rate * f.usableShare()
 	total := b.windowLimit() * f.usableShare()
-	windowWait := b.admitted.timeUntilBelow(total-1, b.bound.Window)
+	all := b.windowOfAll()
+	windowWait := all.timeUntilBelow(max(total-1, 0), b.bound.Window)
 	if r.Start {
 		deficit = max(deficit, -b.uncommitted/commitFraction, minStartLevel*b.burst*f.usableShare()-b.level)
 		windowWait = max(windowWait, b.committed.timeUntilBelow(max(total-r.Cost, 0), b.bound.Window))
@@ -186,8 +255,9 @@
 }
 
 // applyUsage subtracts what another host has used since its previous report. Its counters
-// decrease when it refunds requests.
-func (b *bucket) applyUsage(host string, incarnation int64, used peers.Usage) {
+// decrease when it refunds requests. Past tells, if this is the first report to this host, how old the requests in
+// the window are.
+func (b *bucket) applyUsage(host string, incarnation int64, used peers.Usage, past []uint32) {
 	last, known := b.remoteUsage[host]
 	b.remoteUsage[host] = hostUsage{incarnation: incarnation, usage: used}
 	if b.rate == 0 {
@@ -195,8 +265,9 @@
 	}
 	if !known {
 		// Without a baseline the counters may include usage from long ago.
-		b.admitted.add(max(float64(used.Recent)-b.admitted.sum, 0))
-		b.level = min(b.level, b.windowLimit()-b.admitted.sum)
+		recent := max(float64(used.Recent)-b.admitted.sum-b.reported.sum, 0)
+		b.reported.addPast(recent, past)
+		b.level = min(b.level, b.windowLimit()-b.admitted.sum-b.reported.sum)
 		return
 	}
 	if last.incarnation != incarnation {
@@ -206,10 +277,17 @@
 	committed := float64(int32(used.Committed - last.usage.Committed))
 	b.level = min(b.level-admitted, b.capacity())
 	b.uncommitted -= committed
-	b.admitted.add(admitted)
+	b.reported.add(admitted)
 	b.committed.add(committed)
 }
 
+// hasReportsOf reports whether this host has received the usage of a run of another host, so that what hosts that
+// were lost had admitted by it is known.
+func (b *bucket) hasReportsOf(by granter) bool {
+	last, known := b.remoteUsage[by.host]
+	return known && last.incarnation == by.incarnation
+}
+
 // configure sets the rate and burst of a configuration version, unless a newer one is in
 // effect. A bucket without history starts with what the bound allows beyond them; an
 // existing one keeps its level, limited to the new capacity.
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	usageRepeat = time.Second
 	// usageReceivers is the number of hosts that are told the usage of an account.
 	usageReceivers = 3
+	// maxPastReports is the number of accounts of one report whose past usage it contains, so that it fits into a
+	// datagram.
+	maxPastReports = 100
 )
 
 var ownerUnreachable = metrics.NewCounter("cowslipgw_quota_owner_unreachable_total")
@@ -43,10 +47,11 @@
 	reported   map[uint32]sentUsage
 }
 
-// sentUsage is the usage that was last reported for an account.
+// sentUsage is the usage that was last reported for an account, and to which runs of hosts.
 type sentUsage struct {
-	usage peers.Usage
-	at    boottime.Instant
+	usage     peers.Usage
+	at        boottime.Instant
+	receivers []granter
 }
 
 // NewClient returns a client. Limiter holds the buckets of this host.
@@ -59,7 +64,7 @@
 
 // UsageReports returns the usage to report at this moment, by the ID of the host that needs
 // it: the owner of the account's bucket and those that would own it next.
-func (c *Client) UsageReports() map[string]map[uint32]peers.Usage {
+func (c *Client) UsageReports() map[string]peers.UsageReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := boottime.Now()
@@ -67,22 +72,32 @@
 		return nil
 	}
 	c.reportedAt = now
-	reports := make(map[string]map[uint32]peers.Usage)
+	reports := make(map[string]peers.UsageReport)
 	usage := c.limiter.usage()
 	for account, used := range usage {
+		candidates := c.hosts.StorelessCandidates(bucketKey(account), usageReceivers)
+		receivers := make([]granter, len(candidates))
+		for n, h := range candidates {
+			receivers[n] = granterOf(h)
+		}
 		last := c.reported[account]
-		if last.usage == used && now.Sub(last.at) < usageRepeat {
+		if last.usage == used && slices.Equal(last.receivers, receivers) && now.Sub(last.at) < usageRepeat {
 			continue
 		}
-		c.reported[account] = sentUsage{used, now}
-		for _, h := range c.hosts.StorelessCandidates(bucketKey(account), usageReceivers) {
+		c.reported[account] = sentUsage{used, now, receivers}
+		for n, h := range candidates {
 			if h.ID == c.hosts.Self().ID {
 				continue
 			}
-			if reports[h.ID] == nil {
-				reports[h.ID] = make(map[uint32]peers.Usage)
+			report, started := reports[h.ID]
+			if !started {
+				report = peers.UsageReport{Counts: make(map[uint32]peers.Usage), Past: make(map[uint32][]uint32)}
+				reports[h.ID] = report
+			}
+			report.Counts[account] = used
+			if !slices.Contains(last.receivers, receivers[n]) && len(report.Past) < maxPastReports {
+				report.Past[account] = c.limiter.pastUsage(account)
 			}
-			reports[h.ID][account] = used
 		}
 	}
 	maps.DeleteFunc(c.reported, func(account uint32, _ sentUsage) bool { _, used := usage[account]; return !used })
@@ -98,32 +113,40 @@
 	self := c.hosts.Self()
 	g := &Grant{args: TakeArgs{Account: account.Name, Version: version, Rate: account.Rate, Burst: max(account.Burst, 1),
 		Request: r}, host: self, owner: true}
-	owners := c.hosts.StorelessCandidates(bucketKey(accountHash(account.Name)), 1)
-	if len(owners) == 0 || owners[0].ID == self.ID {
-		return grantIfAdmitted(c.limiter.Take(g.args, true), g)
+	if owners := c.hosts.StorelessCandidates(bucketKey(accountHash(account.Name)), 1); len(owners) > 0 {
+		g.host = owners[0]
+	}
+	ask := c.limiter.withHistory(g.args, self.ID, granterOf(g.host))
+	if g.host.ID == self.ID {
+		return c.grantIfAdmitted(c.limiter.Take(ask, true), g)
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	var reply TakeReply
-	if err := c.caller.Call(ctx, owners[0], ServiceName+".Take", g.args, &reply); err != nil {
+	if err := c.caller.Call(ctx, g.host, ServiceName+".Take", ask, &reply); err != nil {
 		ownerUnreachable.Inc()
-		g.owner = false
-		return grantIfAdmitted(c.limiter.Take(g.args, false), g)
+		g.host, g.owner = self, false
+		reply = c.limiter.Take(g.args, false)
 	}
-	g.host = owners[0]
-	return grantIfAdmitted(reply, g)
+	return c.grantIfAdmitted(reply, g)
 }
 
-func grantIfAdmitted(reply TakeReply, g *Grant) (TakeReply, *Grant) {
+// granterOf identifies a host in received counts.
+func granterOf(h peers.Host) granter { return granter{h.ID, h.Incarnation} }
+
+// grantIfAdmitted returns the result of Admit.
+func (c *Client) grantIfAdmitted(reply TakeReply, g *Grant) (TakeReply, *Grant) {
 	if !reply.Admitted {
 		return reply, nil
 	}
+	c.limiter.receive(g.args, granterOf(g.host), g.owner)
 	return reply, g
 }
 
 // Refund returns the quota of a request that did not run. It does not wait; if the host
 // that admitted the request is lost, the request counts as used.
 func (c *Client) Refund(g *Grant) {
+	c.limiter.unreceive(g.args, granterOf(g.host))
 	if g.host.ID == c.hosts.Self().ID {
 		c.limiter.Refund(g.args, g.owner)
 		return
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -44,7 +44,7 @@
 		for from, other := range f.buckets {
 			if from != to && hears(from, to) {
 				b.refill(f.now, size)
-				b.applyUsage(string(rune('a'+from)), 1, other.usage)
+				b.applyUsage(string(rune('a'+from)), 1, other.usage, nil)
 			}
 		}
 	}
@@ -123,9 +123,9 @@
 	is := is.New(t)
 	f := newTestFleet(1)
 	b := f.buckets[0]
-	b.applyUsage("x", 1, peers.Usage{Admitted: 1000})
+	b.applyUsage("x", 1, peers.Usage{Admitted: 1000}, nil)
 	before := b.level
-	b.applyUsage("x", 2, peers.Usage{Admitted: 3})
+	b.applyUsage("x", 2, peers.Usage{Admitted: 3}, nil)
 	is.Equal(before-b.level, 3.0)
 }
 
@@ -232,7 +232,7 @@
 	fleet := fleetSize{known: 2, alive: 2}
 	b.level = b.capacity()
 	b.refill(now, fleet)
-	b.applyUsage("x", 1, peers.Usage{Admitted: 5000, Recent: 90})
+	b.applyUsage("x", 1, peers.Usage{Admitted: 5000, Recent: 90}, nil)
 	admitted := 0
 	for range 200 {
 		if b.take(now, fleet, Request{}, true) {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -17,6 +17,27 @@
 	Version     int64
 	Rate, Burst float64
 	Request     Request
+	// Host is the host that asks, and Elsewhere the requests of the account that it had admitted by
+	// others than the callee in the window. Age is how long the
+	// host has run, if that is less than a window. Hosts of earlier builds set none of them.
+	Host      string        `cbor:",omitempty"`
+	Elsewhere []PastGrants  `cbor:",omitempty"`
+	Age       time.Duration `cbor:",omitempty"`
+}
+
+// PastGrants are the requests that one run of a host has admitted for the caller of Take in the past window, in
+// parts of a tenth of the window; the first one is the newest.
+type PastGrants struct {
+	Host        string      `cbor:"1,keyasint,omitempty"`
+	Incarnation int64       `cbor:"2,keyasint,omitempty"`
+	Counts      []PastCount `cbor:"3,keyasint,omitempty"`
+}
+
+// PastCount is the number of requests that were admitted in a part of the past window, and the mean number of
+// hosts that were live then.
+type PastCount struct {
+	Admitted uint32 `cbor:"1,keyasint,omitempty"`
+	Hosts    uint32 `cbor:"2,keyasint,omitempty"`
 }
 
 // TakeReply is the response to TakeArgs. RetryAfter is set if the request is not admitted.
--- a/internal/quota/sliding_window.go
+++ b/internal/quota/sliding_window.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"cowslipgw/internal/boottime"
@@ -54,6 +55,60 @@
 	}
 }
 
+// at returns the number of requests that are age slots old.
+func (l *slidingWindow) at(age int64) float64 {
+	if age > l.last {
+		return 0
+	}
+	return l.slots[(l.last-age)%int64(len(l.slots))]
+}
+
+// addAt counts n requests that are age slots old.
+func (l *slidingWindow) addAt(age int64, n float64) {
+	if age > l.last || age >= int64(len(l.slots)) {
+		return
+	}
+	l.slots[(l.last-age)%int64(len(l.slots))] += n
+	l.sum += n
+}
+
+// byAge returns the number of requests in parts of slotsPerCount slots, the newest first.
+func (l *slidingWindow) byAge() []uint32 {
+	var sums [windowSlots/slotsPerCount + 1]float64
+	for age := range int64(len(l.slots)) {
+		sums[age/slotsPerCount] += l.at(age)
+	}
+	counts := make([]uint32, len(sums))
+	for n, sum := range sums {
+		counts[n] = uint32(math.Round(sum))
+	}
+	return counts
+}
+
+// addPast counts n requests that are as old as those of past, which byAge has returned. They are taken to be as
+// recent as they may be, and without past to be new.
+func (l *slidingWindow) addPast(n float64, past []uint32) {
+	total := 0.0
+	past = past[:min(len(past), windowSlots/slotsPerCount+1)]
+	for _, count := range past {
+		total += float64(count)
+	}
+	if total == 0 {
+		l.add(n)
+		return
+	}
+	for part, count := range past {
+		l.addAt(int64(part*slotsPerCount), n*float64(count)/total)
+	}
+}
+
+// merge counts the requests of another window, which has been advanced to the same moment.
+func (l *slidingWindow) merge(other *slidingWindow) {
+	for age := range int64(len(l.slots)) {
+		l.addAt(age, other.at(age))
+	}
+}
+
 // timeUntilBelow returns the time until the count is at most limit.
 func (l *slidingWindow) timeUntilBelow(limit float64, window time.Duration) time.Duration {
 	sum := l.sum
--- a/internal/quota/small_account_test.go
+++ b/internal/quota/small_account_test.go
@@ -96,9 +96,9 @@
 	is := is.New(t)
 	b, now := newSmallBucket(8)
 	b.refill(now, oneHost)
-	b.applyUsage("x", 1, peers.Usage{Admitted: 4, Committed: 40})
+	b.applyUsage("x", 1, peers.Usage{Admitted: 4, Committed: 40}, nil)
 	before := b.level
-	b.applyUsage("x", 1, peers.Usage{Admitted: 3, Committed: 30})
+	b.applyUsage("x", 1, peers.Usage{Admitted: 3, Committed: 30}, nil)
 	is.Equal(b.level, min(before+1, b.capacity()))
 }
 
@@ -107,7 +107,7 @@
 func TestUsageBeforeConfiguration(t *testing.T) {
 	is := is.New(t)
 	l := NewLimiter(Bound{Window: 100 * time.Millisecond}, func() (int, int) { return 2, 2 })
-	l.ApplyUsage("x", 1, map[uint32]peers.Usage{accountHash("a"): {Admitted: 1}})
+	l.ApplyUsage("x", 1, peers.UsageReport{Counts: map[uint32]peers.Usage{accountHash("a"): {Admitted: 1}}})
 	admitted := 0
 	for range 100 { // far below the rate in every window
 		time.Sleep(25 * time.Millisecond)
