turns: a turn that is refused for its budget is settled, too

By reading: after a failed call to one owner, or to the backup of one, another owner may refuse the turn because its tokens are reserved already. The host that asked must settle it as not run then as well, or they count for good. Uncertain was passed on only with Unavailable.

--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -159,7 +159,7 @@
 			return BeginReply{Outcome: outcome, Uncertain: true, Granter: reply.Granter}
 		}
 	}
-	reply.Uncertain = uncertain && reply.Outcome == Unavailable
+	reply.Uncertain = uncertain && reply.Outcome != Granted
 	return reply
 }
 
--- a/internal/turns/messages.go
+++ b/internal/turns/messages.go
@@ -71,7 +71,7 @@
 	// caller stores Chain as part of the turn's input and no parent, as for a parent in
 	// another partition. Hosts of earlier builds store the parent.
 	Detached bool
-	// Uncertain is set if Outcome is Unavailable and tokens may be reserved nonetheless.
+	// Uncertain is set if the turn is not granted and tokens may be reserved nonetheless.
 	// The caller must settle the turn as failed, since only the caller can tell that the
 	// turn does not run.
 	Uncertain bool
--- a/internal/turns/owner.go
+++ b/internal/turns/owner.go
@@ -38,10 +38,11 @@
 type Owner struct {
 	log   storelog.Log
 	peers Peers
-	// backups keep copies of this owner's grants; nil if none do. CopiesOfOthers are those that it keeps itself.
+	// backups keep copies of this owner's grants; nil if none do.
 	backups     Backups
 	backupRests backupRests
-	copies      grantCopies
+	// copies are those that this owner keeps of the grants of others.
+	copies grantCopies
 	// writer identifies this owner in records.
 	writer     int64
 	events     *event.Logger
@@ -91,7 +92,7 @@
 func (o *Owner) begin(ctx context.Context, args BeginArgs) BeginReply {
 	p := o.partitions[PartitionOf(args.Account, args.Program)]
 	if args.PreallocatedOnly {
-		return o.beginPreallocated(p, args)
+		return o.beginPreallocated(ctx, p, args)
 	}
 	if !o.ensureLoaded(ctx, p) {
 		return BeginReply{Outcome: Unavailable}
@@ -152,7 +153,7 @@
 }
 
 // beginPreallocated decides whether a turn may begin within the preallocation.
-func (o *Owner) beginPreallocated(p *partition, args BeginArgs) BeginReply {
+func (o *Owner) beginPreallocated(ctx context.Context, p *partition, args BeginArgs) BeginReply {
 	// A history may have to be read from the store.
 	if args.Parent != "" {
 		return BeginReply{Outcome: Unavailable}
@@ -161,7 +162,7 @@
 	if d.reply.Outcome != Granted {
 		return BeginReply{Outcome: Unavailable}
 	}
-	if !o.ensureCopied(context.Background(), p, args, &d) {
+	if !o.ensureCopied(ctx, p, args, &d) {
 		return BeginReply{Outcome: Unavailable, Uncertain: true}
 	}
 	return d.reply
