quota: finer ages of past requests; a started owner allows for what its report lacks

Ages are told in parts of 0.2 s in place of 0.5 s: each change of owners made requests seem newer by up to a part, so that an account was refused too long.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -28,6 +28,9 @@
 	// maxConcurrentPrograms is the number of programs of the expected size that a bucket
 	// may admit at once, as far as the rate and burst of a window allow.
 	maxConcurrentPrograms = 2
+	// maxBeyondReport limits an estimate as a multiple of the usage that was reported: the former owner may have
+	// been lost before it reported its last requests.
+	maxBeyondReport = 1.1
 	// maxLossFactor limits how far the usage that few hosts remember is extrapolated.
 	maxLossFactor = 3
 )
@@ -140,13 +143,13 @@
 	return b.admitted.sum + max(b.reported.sum, b.admittedElsewhere())
 }
 
-// admittedElsewhere returns the number of requests that others have admitted by what the hosts say that ask this
-// one. It is an estimate, unless this host has started in the window, and was told as much by an owner that
-// knew the window.
+// admittedElsewhere returns an estimate of the number of requests that others have admitted, by what the hosts say
+// that ask this one. A host that has started in the window, and was told as much by an owner that knew the window,
+// does not go far beyond that report.
 func (b *bucket) admittedElsewhere() float64 {
 	admitted, estimate := b.elsewhere.sum(b.lastRefill, b.bound.Window)
 	if b.lastRefill < b.youngUntil && b.reported.sum >= admitted {
-		return admitted
+		return min(estimate, maxBeyondReport*b.reported.sum)
 	}
 	return estimate
 }
--- a/internal/quota/elsewhere.go
+++ b/internal/quota/elsewhere.go
@@ -8,7 +8,7 @@
 )
 
 // slotsPerCount is the number of slots of a window that a call reports as one count.
-const slotsPerCount = 5
+const slotsPerCount = 2
 
 // granter identifies one run of a host that admits requests.
 type granter struct {
--- a/internal/quota/service.go
+++ b/internal/quota/service.go
@@ -26,7 +26,7 @@
 }
 
 // PastGrants are the requests that one run of a host has admitted for the caller of Take in the past window, in
-// parts of a tenth of the window; the first one is the newest.
+// parts of equal length; the first one is the newest.
 type PastGrants struct {
 	Host        string      `cbor:"1,keyasint,omitempty"`
 	Incarnation int64       `cbor:"2,keyasint,omitempty"`
