--- a/cmd/cowslipgw/gateway_process.go
+++ b/cmd/cowslipgw/gateway_process.go
@@ -247,18 +247,14 @@
 	go p.handleReloads(ctx)
 }
 
-// preload loads the partitions that may move to this host, once the other hosts are
+// preload loads and takes over the partitions that move to this host, once the other hosts are
 // known.
 func (p *gatewayProcess) preload(ctx context.Context) {
 	select {
 	case <-time.After(preloadDelay):
 	case <-ctx.Done():
 	}
-	every(ctx, preloadInterval, func() {
-		p.owner.ObserveHosts(append(p.table.Others(), p.table.Self()))
-		p.owner.Preload(ctx, p.client.Owns)
-		p.owner.TakeOver(ctx, p.client.Owns)
-	})
+	every(ctx, preloadInterval, func() { p.client.FollowHosts(ctx) })
 }
 
 // every calls f immediately and then at each interval, until ctx ends.
--- a/internal/turns/client.go
+++ b/internal/turns/client.go
@@ -66,6 +66,14 @@
 // Owns reports whether this host is the first candidate for a partition.
 func (c *Client) Owns(partition int) bool { return c.isFirst(partition, c.hosts.Self().ID) }
 
+// FollowHosts notes which runs of hosts exist, loads the partitions that this host owns, and takes over the
+// programs that others have owned.
+func (c *Client) FollowHosts(ctx context.Context) {
+	c.owner.ObserveHosts(append(c.hosts.Others(), c.hosts.Self()))
+	c.owner.Preload(ctx, c.Owns)
+	c.owner.TakeOver(ctx, c.Owns)
+}
+
 // callHost calls a method of the service at a host, or calls local if h is this host.
 func (c *Client) callHost(ctx context.Context, h peers.Host, method string, args, reply any, local func()) error {
 	if h.ID == c.hosts.Self().ID {
@@ -295,63 +303,3 @@
 	}
 	return ReleaseReply{}, Unreachable
 }
-
-// maxBackupCandidates is the number of hosts among which the backup of a partition's owner is chosen.
-const maxBackupCandidates = 5
-
-// Choose implements Backups. The backup is one of the next owners of the partition, if possible in another failure
-// domain.
-func (c *Client) Choose(partition int, usable func(backup int64) bool) int64 {
-	self := c.hosts.Self()
-	chosen := int64(0)
-	for _, h := range c.hosts.Candidates(partitionKey(partition), maxBackupCandidates) {
-		backup := WriterOf(h)
-		if h.ID == self.ID || !usable(backup) {
-			continue
-		}
-		if h.Domain != self.Domain {
-			return backup
-		}
-		if chosen == 0 {
-			chosen = backup
-		}
-	}
-	return chosen
-}
-
-// hostOf returns the other host that a writer ID identifies, unless it runs a later incarnation.
-func (c *Client) hostOf(writer int64) (peers.Host, bool) {
-	for _, h := range c.hosts.Others() {
-		if WriterOf(h) == writer {
-			return h, true
-		}
-	}
-	return peers.Host{}, false
-}
-
-// Keep implements Backups.
-func (c *Client) Keep(ctx context.Context, args KeepArgs) KeepOutcome {
-	h, known := c.hostOf(args.Backup)
-	if !known {
-		return KeepFailed
-	}
-	var reply KeepReply
-	if err := c.caller.Call(ctx, h, ServiceName+".Keep", args, &reply); err != nil {
-		return KeepFailed
-	}
-	if !reply.Kept {
-		return KeepRefused
-	}
-	return Kept
-}
-
-// Seal implements Backups. It also calls hosts to which earlier calls failed.
-func (c *Client) Seal(ctx context.Context, args SealArgs) (SealReply, bool) {
-	h, known := c.hostOf(args.Backup)
-	if !known {
-		return SealReply{}, false
-	}
-	var reply SealReply
-	err := c.caller.Call(ctx, h, ServiceName+".Seal", args, &reply)
-	return reply, err == nil
-}
