--- a/internal/turns/convert.go
+++ b/internal/turns/convert.go
@@ -6,10 +6,7 @@
 // made again unless the record includes the turn.
 func (p *partition) convertLocked(g *program, c *change) {
 	granter := c.turn.Granter
-	if granter == 0 || granter == p.writer || c.convertedAt == g.foreignOffset+1 {
-		return
-	}
-	if c.hadRecord {
+	if granter == 0 || granter == p.writer || c.hadRecord || c.convertedAt == g.foreignOffset+1 {
 		return
 	}
 	c.convertedAt = g.foreignOffset + 1
--- a/internal/turns/giveback.go
+++ b/internal/turns/giveback.go
@@ -39,19 +39,25 @@
 			continue
 		}
 		g.givingBack = true
-		for turn, tokens := range g.unrecorded {
-			if p.turns[turn] == nil {
-				o.enqueueLocked(p, &change{isLast: true, done: make(chan struct{}), turn: Turn{ID: turn, Account: key.account,
-					Program: key.program, State: Open, Tokens: tokens, Expiry: g.expiry, offset: -1}})
-			}
-		}
-		o.enqueueLocked(p, o.releaseChange(p, key, g))
+		o.recordOpenLocked(p, key, g, g.unrecorded, true)
+		o.enqueueLocked(p, releaseChange(p, key, g))
 	}
 	return next
 }
 
+// recordOpenLocked queues records for the turns of a program that were granted without one; open holds their tokens.
+// IsLast is set if this owner has granted them and preallocates nothing further.
+func (o *Owner) recordOpenLocked(p *partition, key programKey, g *program, open map[string]int, isLast bool) {
+	for turn, tokens := range open {
+		if p.turns[turn] == nil {
+			o.enqueueLocked(p, &change{isLast: isLast, done: make(chan struct{}), turn: Turn{ID: turn, Account: key.account,
+				Program: key.program, State: Open, Tokens: tokens, Expiry: g.expiry, offset: -1}})
+		}
+	}
+}
+
 // releaseChange returns the record by which this owner gives back what it has not granted.
-func (o *Owner) releaseChange(p *partition, key programKey, g *program) *change {
+func releaseChange(p *partition, key programKey, g *program) *change {
 	return &change{isLast: true, isRelease: true, done: make(chan struct{}), turn: Turn{ID: releaseID(p.writer, key),
 		Account: key.account, Program: key.program, State: Closed, Expiry: g.expiry, offset: -1}}
 }
--- a/internal/turns/release.go
+++ b/internal/turns/release.go
@@ -115,12 +115,7 @@
 		return false
 	}
 	delete(g.foreign, writer)
-	for turn, tokens := range open {
-		if p.turns[turn] == nil {
-			o.enqueueLocked(p, &change{done: make(chan struct{}), turn: Turn{ID: turn, Account: key.account, Program: key.program,
-				State: Open, Tokens: tokens, Expiry: g.expiry, offset: -1}})
-		}
-	}
+	o.recordOpenLocked(p, key, g, open, false)
 	o.startWriteLocked(p)
 	return true
 }
--- a/internal/turns/takeover.go
+++ b/internal/turns/takeover.go
@@ -70,6 +70,6 @@
 		return
 	}
 	g.givingBack = true
-	o.enqueueLocked(p, o.releaseChange(p, key, g))
+	o.enqueueLocked(p, releaseChange(p, key, g))
 	o.deferWriteLocked(p)
 }
