review: case 12, budgets are spent by preallocations of lost owners

200 programs within their budgets end three turns while the store is slow and then call tools. All processes are killed once during that pause.

--- a/review/testdata/review3/allowance.go
+++ b/review/testdata/review3/allowance.go
@@ -72,12 +72,7 @@
 	start := time.Now()
 	record.note("tenant hot sends %.0f requests a second, its allowance is %d a second and %d at once", hotFactor*usualShare*allowanceRate, allowanceRate, allowanceBurst)
 	if trouble {
-		p.storeDelay.Store(int64(slowAnswer))
-		record.note("the store takes %v for an answer", slowAnswer)
-		time.AfterFunc(slowTime, func() {
-			p.storeDelay.Store(int64(usualAnswer))
-			record.note("the store takes %v for an answer", usualAnswer)
-		})
+		p.slowStore(slowAnswer, slowTime)
 		time.AfterFunc(killAfter, func() { p.killAll(restartDelay) })
 	}
 	c := &channels{idle: make(map[string][]channel)}
@@ -92,6 +87,16 @@
 	return float64(got) > limit, nil
 }
 
+// slowStore makes the store slow for a time.
+func (p *platform) slowStore(answer, length time.Duration) {
+	p.storeDelay.Store(int64(answer))
+	p.record.note("the store takes %v for an answer", answer)
+	time.AfterFunc(length, func() {
+		p.storeDelay.Store(int64(usualAnswer))
+		p.record.note("the store takes %v for an answer", usualAnswer)
+	})
+}
+
 // killAll kills all processes at once, and starts them again after a delay.
 func (p *platform) killAll(delay time.Duration) {
 	p.record.note("all processes are killed")
--- a/review/testdata/review3/main.go
+++ b/review/testdata/review3/main.go
@@ -17,6 +17,7 @@
 // cases holds the cases by name. A case returns whether the rule was broken.
 var cases = map[string]func(record *recorder, trouble bool) (bool, error){
 	"allowance": allowance,
+	"denied":    denied,
 }
 
 // caseLimit is the time after which a case is given up.
