--- a/review/testdata/review3/allowance.go
+++ b/review/testdata/review3/allowance.go
@@ -20,18 +20,18 @@
 	// how much more it sends now (hot_tenant, x = 7.5).
 	usualShare = 1 / 1.6
 	hotFactor  = 7.5
-	// usualAnswer is the time that the store takes for an answer, and slowAnswer the same while it is slow: 60 times that.
-	usualAnswer = 4 * time.Millisecond
-	slowAnswer  = 60 * usualAnswer
+	// slowFactor is how many times as long the store takes for an answer while it is slow (platform_slow, x = 60).
+	slowFactor = 60
 	// killAfter is the time from the start of the hot tenant to the kill, and restartDelay that until all processes are
 	// started again.
 	killAfter    = time.Second
 	restartDelay = 500 * time.Millisecond
-	hotTime      = 8 * time.Second
+	// hotTime is how long the tenant sends more (hot_tenant, for_s = 6.5).
+	hotTime = 6500 * time.Millisecond
 	// slowTime is how long the store is slow, from the start of the hot tenant.
 	slowTime = 4500 * time.Millisecond
-	// retries is how often a client sends a safe request again that was not answered or answered 503 (the sheet's row
-	// for pickup-status), and retryDelay how long it waits before.
+	// retries is how often a client sends a safe request again that was not answered or answered 502, 503 or 504 (the sheet's row
+	// for pickup-status), on a new channel. Without Retry-After it waits for retryDelay before.
 	retries    = 1
 	retryDelay = 300 * time.Millisecond
 )
@@ -43,15 +43,14 @@
 		return false, err
 	}
 	defer p.close()
-	p.storeDelay.Store(int64(usualAnswer))
 	log := &runLog{sent: map[string]time.Time{}, status: map[string]int{}}
 	for i := range 6 {
 		id := fmt.Sprintf("i-%d", i)
-		addr, err := p.serve(&quick{id: id, log: log, size: 800})
+		addr, err := p.serve(&quick{id: id, log: log, size: 800, places: places{slots: plainSlots, queue: plainQueue}})
 		if err != nil {
 			return false, err
 		}
-		if err := p.announce(id, "retornos-app", addr, "ready"); err != nil {
+		if err := p.announce(id, "retornos-app", addr, plainSlots); err != nil {
 			return false, err
 		}
 	}
@@ -60,19 +59,20 @@
 	if err := p.configure(routes, []tenant{{"hot", "key-hot", allowanceRate, allowanceBurst}, {"other", "key-other", 50, 50}}); err != nil {
 		return false, err
 	}
+	traffic := time.Now().Add(leadTime)
 	for i := range allowanceHosts {
-		if _, err := p.addHost(i, 154); err != nil {
+		if _, err := p.addHost(i); err != nil {
 			return false, err
 		}
 	}
 	if !p.awaitReady(20 * time.Second) {
 		return false, errors.New("hosts do not get ready")
 	}
-	time.Sleep(8 * time.Second) // the hosts know each other, and the first window is over
+	time.Sleep(time.Until(traffic))
 	start := time.Now()
 	record.note("tenant hot sends %.0f requests a second, its allowance is %d a second and %d at once", hotFactor*usualShare*allowanceRate, allowanceRate, allowanceBurst)
 	if trouble {
-		p.slowStore(slowAnswer, slowTime)
+		p.slowStore(slowFactor, slowTime)
 		time.AfterFunc(killAfter, func() { p.killAll(restartDelay) })
 	}
 	c := &channels{idle: make(map[string][]channel)}
@@ -88,12 +88,12 @@
 }
 
 // slowStore makes the store slow for a time.
-func (p *platform) slowStore(answer, length time.Duration) {
-	p.storeDelay.Store(int64(answer))
-	p.record.note("the store takes %v for an answer", answer)
+func (p *platform) slowStore(factor int64, length time.Duration) {
+	p.storeFactor.Store(factor)
+	p.record.note("the store takes %d times as long for an answer", factor)
 	time.AfterFunc(length, func() {
-		p.storeDelay.Store(int64(usualAnswer))
-		p.record.note("the store takes %v for an answer", usualAnswer)
+		p.storeFactor.Store(1)
+		p.record.note("the store takes its usual time for an answer")
 	})
 }
 
@@ -106,6 +106,9 @@
 	time.Sleep(delay)
 	for _, h := range p.hosts {
 		<-h.exited
+		if err := h.writeSettings(false); err != nil {
+			p.record.note("%s: %v", h.name, err)
+		}
 		if err := h.start(); err != nil {
 			p.record.note("%s: %v", h.name, err)
 		}
@@ -121,19 +124,22 @@
 		time.Sleep(time.Until(next))
 		for due += perSecond * tick.Seconds(); due >= 1; due-- {
 			go func() {
-				limit := 1200 * time.Millisecond
-				for range 1 + retries {
-					began, id := time.Now(), newID()
+				end := time.Now().Add(1200 * time.Millisecond)
+				for try := range 1 + retries {
+					id := newID()
 					addr := p.hosts[rand.IntN(len(p.hosts))].frontend
-					status := c.get(addr, "/pickup-status/1", key, id, limit, func() { log.send(id) })
+					status, wait := c.get(addr, "/pickup-status/1", key, id, time.Until(end), try > 0, func() { log.send(id) })
 					log.answer(id, status)
-					if status != 0 && status != 503 {
+					if status != 0 && status < 502 {
 						return
 					}
-					time.Sleep(retryDelay)
-					if limit -= time.Since(began); limit < 100*time.Millisecond {
+					if wait == 0 {
+						wait = retryDelay
+					}
+					if left := time.Until(end); wait > left/3 {
 						return
 					}
+					time.Sleep(wait)
 				}
 			}()
 		}
--- a/review/testdata/review3/denied.go
+++ b/review/testdata/review3/denied.go
@@ -8,6 +8,12 @@
 )
 
 const (
+	// deniedTenants is the number of tenants that share the programs, and deniedRate the rate and burst of each, as the
+	// settings of frio-retorno show them. The programs begin firstGap apart and go on secondGap apart, below these rates.
+	deniedTenants = 4
+	deniedRate    = 273
+	firstGap      = 5 * time.Millisecond
+	secondGap     = 40 * time.Millisecond
 	// deniedHosts is the number of machines of frio-retorno.
 	deniedHosts = 10
 	// deniedPrograms is the number of programs, each of which asks for deniedTurns turns one after the other. Its budget
@@ -32,42 +38,46 @@
 		return false, err
 	}
 	defer p.close()
-	p.storeDelay.Store(int64(usualAnswer))
 	log := &runLog{sent: map[string]time.Time{}, status: map[string]int{}}
 	for i := range 8 {
 		id := fmt.Sprintf("i-%d", i)
-		addr, err := p.serve(&engine{id: id, log: log})
+		addr, err := p.serve(&engine{id: id, log: log, places: places{slots: engineSlots, queue: engineQueue}})
 		if err != nil {
 			return false, err
 		}
-		if err := p.announce(id, "asistente-llm", addr, "ready"); err != nil {
+		if err := p.announce(id, "asistente-llm", addr, engineSlots); err != nil {
 			return false, err
 		}
 	}
-	if err := p.configure([]routeSpec{{"return-chat", "streaming", "asistente-llm", 3 * time.Second}}, []tenant{{"hule930", "key-hule930", 1200, 1200}}); err != nil {
+	var tenants []tenant
+	for n := range deniedTenants {
+		tenants = append(tenants, tenant{fmt.Sprintf("hule93%d", n), deniedKey(n), deniedRate, deniedRate})
+	}
+	if err := p.configure([]routeSpec{{"return-chat", "streaming", "asistente-llm", 3 * time.Second}}, tenants); err != nil {
 		return false, err
 	}
+	traffic := time.Now().Add(leadTime)
 	for i := range deniedHosts {
-		if _, err := p.addHost(i, 154); err != nil {
+		if _, err := p.addHost(i); err != nil {
 			return false, err
 		}
 	}
 	if !p.awaitReady(20 * time.Second) {
 		return false, errors.New("hosts do not get ready")
 	}
-	time.Sleep(8 * time.Second) // traffic starts 10 s after the machines do
+	time.Sleep(time.Until(traffic))
 	c := newCaller(p, log)
 	programs := make([]*program, deniedPrograms)
 	for n := range programs {
-		programs[n] = &program{id: fmt.Sprintf("program-%03d", n), budget: deniedTurns * turnTokens}
+		programs[n] = &program{id: fmt.Sprintf("program-%03d", n), key: deniedKey(n % deniedTenants), budget: deniedTurns * turnTokens}
 	}
-	all := func(turns int) {
+	all := func(turns int, gap time.Duration) {
 		var wait sync.WaitGroup
 		for n, g := range programs {
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
-				time.Sleep(time.Duration(n) * 5 * time.Millisecond)
+				time.Sleep(time.Duration(n) * gap)
 				for range turns {
 					if !c.next(g) {
 						return
@@ -79,9 +89,9 @@
 	}
 	start := time.Now()
 	if trouble {
-		p.slowStore(slowAnswer, slowTime)
+		p.slowStore(slowFactor, slowTime)
 	}
-	all(deniedBefore)
+	all(deniedBefore, firstGap)
 	record.note("each program has ended %d turns, %v after the start", deniedBefore, time.Since(start).Round(time.Millisecond))
 	pause := time.Now()
 	if trouble {
@@ -93,10 +103,13 @@
 	}
 	time.Sleep(time.Until(pause.Add(deniedPause)))
 	record.note("the programs go on")
-	all(deniedTurns - deniedBefore)
+	all(deniedTurns-deniedBefore, secondGap)
 	return c.judgeDenied(record), nil
 }
 
+// deniedKey returns the key of a tenant.
+func deniedKey(n int) string { return fmt.Sprintf("key-hule93%d", n) }
+
 // judgeDenied writes the calls. It reports whether more turns were denied than the rule DENIED allows.
 func (c *caller) judgeDenied(record *recorder) bool {
 	c.mu.Lock()
--- a/review/testdata/review3/engine.go
+++ b/review/testdata/review3/engine.go
@@ -14,12 +14,16 @@
 	turnTokens     = turnEvents * tokensPerEvent
 	// eventTime is the time between two events.
 	eventTime = 4 * time.Millisecond
+	// engineSlots is the number of turns that a replica runs at a time, and engineQueue that of those that wait.
+	engineSlots = 16
+	engineQueue = 48
 )
 
 // engine is a replica that answers each turn with a stream.
 type engine struct {
 	id  string
 	log *runLog
+	places
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -29,11 +33,15 @@
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
 	h.Set("X-Request-Id", id)
+	h.Set("X-Instance-Id", e.id)
 	if r.Header.Get("X-Expect-Instance") != e.id {
-		h.Set("X-Instance-Id", e.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if !e.enter(w) {
+		return
+	}
+	defer e.leave()
 	e.log.run(id)
 	h.Set("X-Response-Signature", e.id+"."+id)
 	h.Set("X-Weight-Versions", "1")
--- a/review/testdata/review3/platform.go
+++ b/review/testdata/review3/platform.go
@@ -22,6 +22,15 @@
 // hostName is the host of all routes.
 const hostName = "site.example"
 
+// The store takes appendTime (platform.append_ms) for an append, and readTime for other answers, which the pages do not state.
+const (
+	appendTime = 4 * time.Millisecond
+	readTime   = time.Millisecond
+)
+
+// leadTime is the time from the start of the machines to that of traffic (lead_s).
+const leadTime = 10 * time.Second
+
 // tenant is a client account of the configuration.
 type tenant struct {
 	name, key   string
@@ -44,8 +53,8 @@
 	sequence int64
 	servers  []*http.Server
 	hosts    []*host
-	// storeDelay is how much later than at once the store answers.
-	storeDelay atomic.Int64
+	// storeFactor is how many times its usual time the store takes for an answer.
+	storeFactor atomic.Int64
 }
 
 // newPlatform starts a store.
@@ -55,8 +64,13 @@
 		return nil, err
 	}
 	p := &platform{store: platformtest.NewStore(), dir: dir, record: record}
+	p.storeFactor.Store(1)
 	p.addr, err = p.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(time.Duration(p.storeDelay.Load()))
+		usual := readTime
+		if r.Method == http.MethodPost && r.URL.Path == "/api/log-append" {
+			usual = appendTime
+		}
+		time.Sleep(usual * time.Duration(p.storeFactor.Load()))
 		p.store.ServeHTTP(w, r)
 	}))
 	return p, err
@@ -86,10 +100,10 @@
 }
 
 // announce publishes the entry of a replica.
-func (p *platform) announce(id, service, addr, state string) error {
+func (p *platform) announce(id, service, addr string, slots int) error {
 	p.sequence++
-	entry, err := json.Marshal(map[string]any{"service": service, "address": addr, "zone": "heredia", "version": "v1", "slots": 16,
-		"state": state, "cold_remaining_ms": 0, "sequence": p.sequence, "born": 1})
+	entry, err := json.Marshal(map[string]any{"service": service, "address": addr, "zone": "heredia", "version": "v1", "slots": slots,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": p.sequence, "born": 1})
 	if err != nil {
 		return err
 	}
@@ -104,9 +118,10 @@
 	for _, r := range routes {
 		m := map[string]any{"name": r.name, "host": hostName, "path_prefix": "/" + r.name + "/", "kind": r.kind, "service": r.service,
 			"timeout_ms": r.timeout.Milliseconds(), "target_latency_ms": 250, "max_attempts": 2, "priority": 1, "public": false}
-		s := map[string]any{"name": r.service, "health_path": "/health", "max_connections": 160}
+		s := map[string]any{"name": r.service, "health_path": "/health", "max_connections": 96}
 		if r.kind == "streaming" {
 			m["retains_context"], m["retention_s"], m["sticky_sessions"], m["gap_aim_ms"] = true, 60, true, 200
+			s["max_connections"] = 160
 			s["engine"] = map[string]any{"slots": 16, "kv_cache_tokens": 133601, "tokens_per_event": 11}
 		}
 		if !seen[r.service] {
@@ -129,25 +144,28 @@
 // host is a machine with one gateway process.
 type host struct {
 	name, ip, frontend, readiness, settings string
-	// memoryMB is the memory of the machine: its process is killed when it exceeds it.
-	memoryMB int
-	p        *platform
+	p                                       *platform
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	stopped bool
-	// ends counts the ends of the process, and peakMB is the most memory seen.
-	ends   int
-	peakMB int
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // addHost writes the settings of a host and starts its process.
-func (p *platform) addHost(n, memoryMB int) (*host, error) {
+func (p *platform) addHost(n int) (*host, error) {
 	site := os.Getpid() % (1 << 14)
 	ip := fmt.Sprintf("127.%d.%d.%d", 128+site>>8, site&0xff, n+1)
 	h := &host{name: fmt.Sprintf("frontend-heredia-%d", n+1), ip: ip, frontend: ip + ":8368", readiness: ip + ":8369",
-		settings: filepath.Join(p.dir, fmt.Sprintf("host-%d.conf", n)), memoryMB: memoryMB, p: p}
+		settings: filepath.Join(p.dir, fmt.Sprintf("host-%d.conf", n)), p: p}
+	p.hosts = append(p.hosts, h)
+	if err := h.writeSettings(true); err != nil {
+		return nil, err
+	}
+	return h, h.start()
+}
+
+// writeSettings writes the settings file of the process. Bootstrap is true only when the whole system starts for the first time.
+func (h *host) writeSettings(bootstrap bool) error {
 	text := fmt.Sprintf(`node=%s
 role=gateway
 machine_class=frontend
@@ -160,38 +178,51 @@
 listen_addresses.readiness=%s
 listen_addresses.directory=%s:8360
 internal_ports=7780,7795
-bootstrap=true
+bootstrap=%t
+discovery=platform
+entry=directory
 limits.cpu_share=0.8
 limits.cores=1
-limits.memory_mb=%d
+limits.memory_mb=154
 limits.file_descriptors=8200
 limits.link_mbps=1000.0
 heartbeat_ms=1200
 contracts=base,drain,config,cost,recover,agent,stream,engine,tenants,quota,platform
+bounds.seed_lag_s=3
 bounds.reuse_after_s=2
 bounds.contact_ms=3000
+bounds.ack_timeout_ms=4000
+bounds.catch_up_s=4.3
 bounds.drain_ms=2000
 bounds.grace_s=8
 bounds.loss_slack_ms=200
 bounds.config_apply_ms=2000
+bounds.downgrade_slack_ms=250
+bounds.skew_bound_ms=5000
 bounds.fail_closed=true
 bounds.revoke_ms=5000
 bounds.quota_window_s=5
 bounds.quota_overage=0.1
 bounds.quota_slack=20
 bounds.recovery_s=12
+bounds.pass_ms=120
+bounds.retry_after_s=0
+bounds.deadline_s=10
+bounds.settle_ms=1000
 bounds.ttl_max_s=5
 platform.address=%s
 platform.form=log
+platform.writes_per_s=800
+platform.reads_per_s=2000
 platform.parts=8
+platform.append_ms=4.0
 platform.record_bytes=262144
 platform.call_bytes=2097152
-`, h.name, ip, h.frontend, h.readiness, ip, memoryMB, p.addr)
-	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	p.hosts = append(p.hosts, h)
-	return h, h.start()
+platform.retention_s=300
+platform.part_mb=200
+platform.ttl_min_ms=1000
+`, h.name, h.ip, h.frontend, h.readiness, h.ip, bootstrap, h.p.addr)
+	return os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
 // start starts the process with the command of the deploy file.
@@ -230,7 +261,6 @@
 // stopForGood kills the process.
 func (h *host) stopForGood() {
 	h.mu.Lock()
-	h.stopped = true
 	cmd, exited := h.cmd, h.exited
 	h.mu.Unlock()
 	if cmd == nil {
--- a/review/testdata/review3/programs.go
+++ b/review/testdata/review3/programs.go
@@ -12,10 +12,23 @@
 	"time"
 )
 
-// program is an agent program whose turns follow each other. Used is the number of tokens used, at the most.
+// program is an agent program whose turns follow each other. Used is the number of tokens used, at the most, and refused
+// holds the ends of turns that were refused.
 type program struct {
-	id, previous string
-	budget, used int
+	id, key, previous string
+	budget, used      int
+	refused           []time.Time
+}
+
+// usedBy returns the number of tokens used, at the most. Turns that were refused less than settleTime before count at their most, too.
+func (g *program) usedBy(now time.Time) int {
+	used := g.used
+	for _, t := range g.refused {
+		if now.Sub(t) < settleTime {
+			used += turnTokens
+		}
+	}
+	return used
 }
 
 // answer is one attempt of a turn and its end. Used is the number of tokens that the program had used before.
@@ -25,6 +38,7 @@
 	status, events    int
 	whole             bool
 	used, budget      int
+	retryAfter        time.Duration
 }
 
 // caller sends the turns of programs.
@@ -59,7 +73,7 @@
 		if a.status == http.StatusPaymentRequired || a.status == http.StatusNotFound {
 			return false
 		}
-		time.Sleep(time.Duration(100*(try+1)) * time.Millisecond)
+		time.Sleep(max(a.retryAfter, time.Duration(100*(try+1))*time.Millisecond))
 	}
 	return false
 }
@@ -83,11 +97,12 @@
 // send sends one attempt of the next turn on a new channel.
 func (c *caller) send(g *program) answer {
 	h := c.pick()
-	a := answer{host: h.name, program: g.id, id: newID(), sent: time.Now(), used: g.used, budget: g.budget}
+	a := answer{host: h.name, program: g.id, id: newID(), sent: time.Now(), budget: g.budget}
+	a.used = g.usedBy(a.sent)
 	input := "<input of " + a.id + ">"
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST /return-chat/4b HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Program-Id: %s\r\nX-Session-Id: main\r\nX-Model: m\r\n", hostName, a.id, g.id)
-	fmt.Fprintf(&b, "X-Program-Deadline-Ms: 30000\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer key-hule930\r\n")
+	fmt.Fprintf(&b, "X-Program-Deadline-Ms: 30000\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer %s\r\n", g.key)
 	fmt.Fprintf(&b, "X-Token-Budget: %d\r\nX-Token-Usage: 100,%d\r\nContent-Length: %d\r\n", g.budget, turnTokens, len(input))
 	if g.previous != "" {
 		fmt.Fprintf(&b, "X-Previous-Turn: %s\r\n", g.previous)
@@ -108,6 +123,8 @@
 		g.used += a.events * tokensPerEvent
 	case a.status == 0 || a.status == http.StatusOK || a.status >= 500 && a.status != http.StatusServiceUnavailable:
 		g.used += turnTokens
+	case a.status != http.StatusPaymentRequired:
+		g.refused = append(g.refused, a.ended)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,7 +142,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	a.status = response.StatusCode
+	a.status, a.retryAfter = response.StatusCode, retryAfter(response.Header)
 	body, err := io.ReadAll(response.Body)
 	if a.status == http.StatusOK {
 		a.events = strings.Count(string(body), "\n\n")
